Set down the shape: reducer, events, effects, messages and control loop

One package decides (decision.Reduce); the control goroutine runs it and hands effects to adapters. Stages of a request that are not built yet pass it on.

--- /dev/null
+++ b/decision/message/message.go
@@ -0,0 +1,287 @@
+// Package message holds the messages between hosts as plain data. Any of them
+// may be lost, delayed, repeated or reordered. How they are encoded is the
+// business of the host module.
+package message
+
+import (
+	"time"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/model"
+)
+
+// Message is one of the types of this package.
+type Message interface{ message() }
+
+// Heartbeat spreads what its sender knows. Ages are durations up to the time
+// of sending; a receiver adds nothing for the way, and a relay adds the time
+// that it kept them.
+type Heartbeat struct {
+	Sequence uint64
+	// StoreAge is the age of the newest store answer known to the sender;
+	// negative when it knows none.
+	StoreAge time.Duration
+	Version  uint64 // of the configuration in force; 0: none
+	Slots    []SlotOwned
+	Hosts    []HostAge // at most MaxHostAges, freshest first
+	Leaving  []model.ServerID
+	Stopping bool // the sender accepts no new work
+}
+
+// MaxHostAges bounds Heartbeat.Hosts, so that a heartbeat does not grow with
+// the fleet.
+const MaxHostAges = 64
+
+// SlotOwned announces an owner of a slot, the sender or one it heard of.
+type SlotOwned struct {
+	Slot  model.SlotID
+	Owner model.HostRef
+	Term  uint64
+	Age   time.Duration // since the owner said so
+}
+
+// HostAge says how old the newest known heartbeat of a host is.
+type HostAge struct {
+	Host model.HostRef
+	Age  time.Duration
+}
+
+// TokenAsk asks the owner of a slot for tokens of a client account and
+// settles earlier grants.
+type TokenAsk struct {
+	Ask     uint64 // unique for the sender's incarnation
+	Slot    model.SlotID
+	Account model.AccountID
+	Tokens  int // wanted; 0 only settles
+	Settled []Settlement
+}
+
+// Settlement ends a grant: Spent tokens were used, the rest go back.
+type Settlement struct {
+	Grant uint64
+	Spent int
+}
+
+// TokenGrant answers TokenAsk. Tokens may be fewer than asked for.
+type TokenGrant struct {
+	Ask     uint64
+	Slot    model.SlotID
+	Account model.AccountID
+	Grant   uint64 // unique for the slot; 0 when Tokens is 0
+	Tokens  int
+	// NotOwner says that the receiver of the ask does not own the slot.
+	NotOwner bool
+	// NextToken is when a token will have accrued, counted from the answer.
+	NextToken time.Duration
+}
+
+// Claim asks the owner of an idempotency key for the right to forward.
+type Claim struct {
+	Ask         uint64 // unique for the sender's incarnation
+	Slot        model.SlotID
+	Account     model.AccountID
+	Key         string
+	Fingerprint model.Fingerprint
+	// Timeout is how long the sender waits for an earlier use to end.
+	Timeout time.Duration
+}
+
+// ClaimResult is the owner's decision on a claim. The zero value is
+// ClaimUnknown, the only safe assumption.
+type ClaimResult uint8
+
+// The results.
+const (
+	ClaimUnknown ClaimResult = iota
+	ClaimGranted
+	ClaimInProgress
+	ClaimDone
+	ClaimMismatch
+	ClaimFromFuture
+	ClaimNotOwner
+	// ClaimDropped: ran, the answer is no longer retained.
+	ClaimDropped
+)
+
+// ClaimAnswer answers Claim. ClaimInProgress is followed by a second answer
+// when the earlier use ends.
+type ClaimAnswer struct {
+	Ask    uint64
+	Key    string
+	Result ClaimResult
+	Answer *model.Answer // with ClaimDone
+}
+
+// ClaimEnd tells the owner how the forwarded request ended. It is repeated
+// until acknowledged.
+type ClaimEnd struct {
+	Slot    model.SlotID
+	Account model.AccountID
+	Key     string
+	Verdict model.Verdict
+	Answer  *model.Answer // with Ran, where it fits
+}
+
+// ClaimEndAck acknowledges ClaimEnd.
+type ClaimEndAck struct {
+	Slot    model.SlotID
+	Account model.AccountID
+	Key     string
+}
+
+// Evidence sums up what a host saw of a service's servers since its last
+// report.
+type Evidence struct {
+	Sequence uint64 // grows with each report of the sender's incarnation
+	Slot     model.SlotID
+	Service  model.ServiceID
+	Domain   model.DomainID // of the sender
+	Servers  []ServerEvidence
+	// PoolOK and PoolFailed count attempts at all servers of the service.
+	PoolOK     int
+	PoolFailed int
+}
+
+// ServerEvidence counts attempts at one server.
+type ServerEvidence struct {
+	Server model.ServerID
+	OK     int
+	Failed int
+	Slow   int // of OK, those far slower than the pool's median
+}
+
+// EjectionSet is the whole set of servers of a service that get no ordinary
+// work. It replaces any set with a lower term, or equal term and lower
+// sequence.
+type EjectionSet struct {
+	Slot     model.SlotID
+	Service  model.ServiceID
+	Term     uint64
+	Sequence uint64
+	Ejected  []model.ServerID
+	Trial    []model.ServerID // one request at a time for each host
+}
+
+// ConfigOffer announces a configuration in force at the sender.
+type ConfigOffer struct {
+	Root configuration.Root
+	// Want asks the receiver to answer with its own offer.
+	Want bool
+}
+
+// ShardAsk asks for shards by hash.
+type ShardAsk struct{ Hashes []string }
+
+// Shards carries shards; the receiver checks each against its hash.
+type Shards struct{ Shards []configuration.Shard }
+
+// ClaimIntent says that the sender has reached the store and is about to
+// claim the slot.
+type ClaimIntent struct {
+	Intent uint64
+	Slot   model.SlotID
+}
+
+// ClaimIntentAck acknowledges ClaimIntent.
+type ClaimIntentAck struct {
+	Intent uint64
+	Slot   model.SlotID
+}
+
+// RenewRelay asks a peer to swap a slot's record in the sender's name.
+type RenewRelay struct {
+	Ask     uint64
+	Slot    model.SlotID
+	Version uint64
+	Record  model.SlotRecord
+}
+
+// RenewResult answers RenewRelay.
+type RenewResult struct {
+	Ask     uint64
+	Slot    model.SlotID
+	Record  model.SlotRecord
+	Version uint64 // the record's new version, with OK
+	OK      bool
+	// Conflict says that the record was changed by another host.
+	Conflict bool
+}
+
+// HandoverOffer carries the complete state of a slot to its successor. The
+// sender has frozen the slot before it sends.
+type HandoverOffer struct {
+	Slot    model.SlotID
+	Record  model.SlotRecord
+	Version uint64        // of the record in the store
+	Expires time.Duration // what is left of the sender's authority
+	Buckets []BucketState
+	Claims  []ClaimState
+}
+
+// BucketState is one client account's token bucket.
+type BucketState struct {
+	Account     model.AccountID
+	Level       float64
+	Outstanding []GrantState
+}
+
+// GrantState is a grant that is not settled.
+type GrantState struct {
+	Grant   uint64
+	Tokens  int
+	Expires time.Duration // left
+}
+
+// ClaimState is one idempotency record.
+type ClaimState struct {
+	Account     model.AccountID
+	Key         string
+	Fingerprint model.Fingerprint
+	Verdict     model.Verdict
+	InProgress  bool
+	Holder      model.HostRef
+	Answer      *model.Answer
+}
+
+// HandoverAck says that the successor holds the offered state.
+type HandoverAck struct {
+	Slot model.SlotID
+	Term uint64 // of the offered record
+}
+
+// HandoverCommit tells the successor to take over. Record and Version are the
+// store's when Stored, else the successor writes the record when the store is
+// back. It is repeated until acknowledged.
+type HandoverCommit struct {
+	Slot    model.SlotID
+	Record  model.SlotRecord
+	Version uint64
+	Stored  bool
+}
+
+// HandoverCommitAck acknowledges HandoverCommit.
+type HandoverCommitAck struct {
+	Slot model.SlotID
+	Term uint64
+}
+
+func (Heartbeat) message()         {}
+func (TokenAsk) message()          {}
+func (TokenGrant) message()        {}
+func (Claim) message()             {}
+func (ClaimAnswer) message()       {}
+func (ClaimEnd) message()          {}
+func (ClaimEndAck) message()       {}
+func (Evidence) message()          {}
+func (EjectionSet) message()       {}
+func (ConfigOffer) message()       {}
+func (ShardAsk) message()          {}
+func (Shards) message()            {}
+func (ClaimIntent) message()       {}
+func (ClaimIntentAck) message()    {}
+func (RenewRelay) message()        {}
+func (RenewResult) message()       {}
+func (HandoverOffer) message()     {}
+func (HandoverAck) message()       {}
+func (HandoverCommit) message()    {}
+func (HandoverCommitAck) message() {}
--- /dev/null
+++ b/decision/model/host.go
@@ -0,0 +1,40 @@
+package model
+
+// Role tells the kinds of entries in the platform's host list apart.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// HostEntry is one line of the platform's host list. The list lags.
+type HostEntry struct {
+	ID       string // host id, or the "ip:port" of a backend server
+	Role     Role
+	Domain   DomainID
+	Service  ServiceID // of a backend server
+	Peer     string    // "ip:port" of an entry host's peer port
+	Operator string    // "ip:port" of an entry host's operator port
+	Leaving  bool
+	Since    WallTime // when the platform first listed it; 0 when unknown
+}
+
+// SlotID names a unit of exclusive ownership.
+type SlotID struct {
+	Domain DomainID
+	Index  int
+}
+
+// SlotRecord is the store's record of a slot's owner. Term grows by one with
+// each change of owner; Renewal grows with each renewal, so that a claimant
+// can tell a live owner from a lost one without comparing clocks.
+type SlotRecord struct {
+	Owner   HostRef
+	Term    uint64
+	Renewal uint64
+	// Continuous is true where the owner got the complete state of the term
+	// before it, or where there was none.
+	Continuous bool
+}
--- /dev/null
+++ b/decision/reduce.go
@@ -0,0 +1,139 @@
+package decision
+
+import (
+	"math/rand/v2"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// Reduce applies one event to the state and returns the effects to carry out,
+// in order. The slice is valid until the next call. Events must not go back in
+// time.
+func Reduce(s *State, e event.Event) []effect.Effect {
+	s.now = max(s.now, e.At)
+	s.wall = e.Wall
+	clear(s.effects)
+	s.effects = s.effects[:0]
+	s.dispatch(e.Body)
+	s.fireDue()
+	s.setTimer()
+	return s.effects
+}
+
+func (s *State) dispatch(body event.Body) {
+	switch b := body.(type) {
+	case event.Started:
+		s.onStarted(b)
+	case event.RequestArrived:
+		s.onRequestArrived(b)
+	case event.AttemptEnded:
+		s.onAttemptEnded(b)
+	case event.AnswerSent:
+		s.onAnswerSent(b)
+	case event.TimerFired:
+		s.timerSet = model.Never
+	case event.PeerReceived:
+		s.onPeerReceived(b.From, b.Message)
+	case event.HostsListed:
+		s.onHostsListed(b)
+	case event.SlotRead:
+		s.onSlotRead(b)
+	case event.SlotSwapped:
+		s.onSlotSwapped(b)
+	case event.RootRead:
+		s.onRootRead(b)
+	case event.ShardsRead:
+		s.onShardsRead(b)
+	case event.StopRequested:
+		s.onStopRequested()
+	case event.StatusRequested:
+		s.emit(effect.ReportStatus{Query: b.Query, Status: s.status()})
+	}
+}
+
+func (s *State) onStarted(e event.Started) {
+	s.self = e.Self
+	s.domain = e.Domain
+	s.rand = rand.New(rand.NewPCG(e.Seed, e.Self.Incarnation))
+	s.startConfig()
+	s.startLimits()
+	s.startClaims()
+	s.startServers()
+}
+
+func (s *State) onPeerReceived(from model.HostRef, m message.Message) {
+	switch m := m.(type) {
+	case message.Heartbeat:
+		s.onHeartbeat(from, m)
+	case message.TokenAsk:
+		s.onTokenAsk(from, m)
+	case message.TokenGrant:
+		s.onTokenGrant(from, m)
+	case message.Claim:
+		s.onClaim(from, m)
+	case message.ClaimAnswer:
+		s.onClaimAnswer(from, m)
+	case message.ClaimEnd:
+		s.onClaimEnd(from, m)
+	case message.ClaimEndAck:
+		s.onClaimEndAck(from, m)
+	case message.Evidence:
+		s.onEvidence(from, m)
+	case message.EjectionSet:
+		s.onEjectionSet(from, m)
+	case message.ConfigOffer:
+		s.onConfigOffer(from, m)
+	case message.ShardAsk:
+		s.onShardAsk(from, m)
+	case message.Shards:
+		s.onShards(from, m)
+	default:
+		s.onSlotMessage(from, m)
+	}
+}
+
+func (s *State) onHostsListed(e event.HostsListed) {
+	s.limitsHostsListed(e.Entries)
+	s.serversHostsListed(e.Entries)
+}
+
+// fireDue runs every deadline that has passed.
+func (s *State) fireDue() {
+	for {
+		key, ok := s.timers.Pop(s.now)
+		if !ok {
+			return
+		}
+		s.fire(key)
+	}
+}
+
+func (s *State) fire(key timerKey) {
+	switch key.kind {
+	case timerRequest:
+		s.onRequestDeadline(model.RequestID(key.id))
+	case timerConfig:
+		s.onConfigTimer(key.id)
+	case timerLimits:
+		s.onLimitsTimer(key.id)
+	case timerClaims:
+		s.onClaimsTimer(key.id)
+	case timerServers:
+		s.onServersTimer(key.id)
+	case timerStop:
+		s.onStopTimer()
+	}
+}
+
+// setTimer asks for the one real timer when the earliest deadline changed.
+func (s *State) setTimer() {
+	next := s.timers.Next()
+	if next == s.timerSet || next == model.Never {
+		return
+	}
+	s.timerSet = next
+	s.emit(effect.SetTimer{At: next})
+}
--- /dev/null
+++ b/decision/status.go
@@ -0,0 +1,35 @@
+package decision
+
+import (
+	"cmp"
+	"slices"
+
+	"pollensail.dev/decision/effect"
+)
+
+func (s *State) status() effect.Status {
+	status := effect.Status{
+		Host:     s.self,
+		Domain:   s.domain,
+		Ready:    s.ready,
+		InFlight: len(s.requests),
+		Refusals: s.refusalCounts(),
+	}
+	if s.snapshot != nil {
+		status.Version = s.snapshot.Version
+	}
+	s.limitsStatus(&status)
+	s.serversStatus(&status)
+	return status
+}
+
+func (s *State) refusalCounts() []effect.RefusalCount {
+	counts := make([]effect.RefusalCount, 0, len(s.refusals))
+	for k, n := range s.refusals {
+		counts = append(counts, effect.RefusalCount{Account: k.account, Reason: k.reason, Count: n})
+	}
+	slices.SortFunc(counts, func(a, b effect.RefusalCount) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Reason, b.Reason))
+	})
+	return counts
+}
--- /dev/null
+++ b/host/cmd/pollenctl/main.go
@@ -0,0 +1,4 @@
+// Command pollenctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/host/cmd/pollensail/main.go
@@ -0,0 +1,4 @@
+// Command pollensail is the process of an entry host.
+package main
+
+func main() {}
