--- /dev/null
+++ b/decision/configuration/parse.go
@@ -0,0 +1,236 @@
+package configuration
+
+import (
+	"encoding/hex"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pollensail.dev/decision/model"
+)
+
+// minTimeout and maxTimeout bound a route's timeout.
+const (
+	minTimeout = time.Millisecond
+	maxTimeout = 10 * time.Minute
+)
+
+// maxRate is the highest rate of an account in requests a second.
+const maxRate = 1e6
+
+// maxElement is the length in bytes of an element of a path, and maxPath that
+// of a whole path. Paths become names in metrics and logs.
+const (
+	maxElement = 64
+	maxPath    = 256
+)
+
+const keyPrefix = "sha256:"
+
+// Lines returns the values of a list setting.
+func Lines(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, "\n")
+}
+
+// JoinLines returns the value of a list setting.
+func JoinLines(values []string) string { return strings.Join(values, "\n") }
+
+// FormatKey returns a key's hash in the notation of the tree.
+func FormatKey(hash model.KeyHash) string { return keyPrefix + hex.EncodeToString(hash[:]) }
+
+// ParseKey is the inverse of FormatKey.
+func ParseKey(value string) (model.KeyHash, bool) {
+	var hash model.KeyHash
+	digits, ok := strings.CutPrefix(value, keyPrefix)
+	if !ok || len(digits) != 2*len(hash) || digits != strings.ToLower(digits) {
+		return hash, false
+	}
+	_, err := hex.Decode(hash[:], []byte(digits))
+	return hash, err == nil
+}
+
+// parseList parses each line of a value, which must be distinct. It reports
+// false for an empty list.
+func parseList[T any](target *[]T, value string, parse func(string) (T, bool)) bool {
+	lines := Lines(value)
+	parsed := make([]T, 0, len(lines))
+	for i, line := range lines {
+		v, ok := parse(line)
+		if !ok || slices.Contains(lines[:i], line) {
+			return false
+		}
+		parsed = append(parsed, v)
+	}
+	*target = parsed
+	return len(parsed) > 0
+}
+
+func parseDomains(target *[]model.DomainID, value string) bool {
+	return parseList(target, value, func(v string) (model.DomainID, bool) {
+		return model.DomainID(v), isElement(v)
+	})
+}
+
+func parseKeys(target *[]model.KeyHash, value string) bool {
+	if value == "" {
+		*target = nil
+		return true
+	}
+	return parseList(target, value, ParseKey)
+}
+
+func parsePaths(target *[]string, value string) bool {
+	return parseList(target, value, func(v string) (string, bool) { return v, isPath(v) })
+}
+
+func parseMethods(target *[]string, value string) bool {
+	return parseList(target, value, func(v string) (string, bool) { return v, isMethod(v) })
+}
+
+func parseServers(target *[]model.ServerID, value string) bool {
+	if value == "" {
+		*target = nil
+		return true
+	}
+	return parseList(target, value, func(v string) (model.ServerID, bool) {
+		return model.ServerID(v), isAddress(v)
+	})
+}
+
+func parseService(target *model.ServiceID, value string) bool {
+	*target = model.ServiceID(value)
+	return isPath(value)
+}
+
+func parseClass(target *model.Class, value string) bool {
+	class, ok := model.ParseClass(value)
+	*target = class
+	return ok
+}
+
+func parseBool(target *bool, value string) bool {
+	*target = value == "true"
+	return value == "true" || value == "false"
+}
+
+func parseCount(target *int, value string, least, most int) bool {
+	n, err := strconv.Atoi(value)
+	*target = n
+	return err == nil && least <= n && n <= most
+}
+
+func parseDuration(target *time.Duration, value string, least, most time.Duration) bool {
+	d, err := time.ParseDuration(value)
+	*target = d
+	return err == nil && least <= d && d <= most
+}
+
+func parsePercent(target *float64, value string) bool {
+	digits, ok := strings.CutSuffix(value, "%")
+	n, err := strconv.ParseFloat(digits, 64)
+	*target = n / 100
+	return ok && err == nil && 0 <= n && n <= 100
+}
+
+func parseRate(target *float64, value string) bool {
+	number, unit, _ := strings.Cut(value, "/")
+	n, err := strconv.ParseFloat(number, 64)
+	if err != nil || math.IsNaN(n) {
+		return false
+	}
+	switch unit {
+	case "s":
+	case "m":
+		n /= time.Minute.Seconds()
+	default:
+		return false
+	}
+	*target = n
+	return 0 < n && n <= maxRate
+}
+
+func parseURLPath(target *string, value string) bool {
+	*target = value
+	if !strings.HasPrefix(value, "/") || strings.ContainsAny(value, "?#\\ \t\n") {
+		return false
+	}
+	for _, element := range strings.Split(trimSlash(value[1:]), "/") {
+		isEmptyRoot := element == "" && value == "/"
+		if !isEmptyRoot && (element == "" || element == "." || element == "..") {
+			return false
+		}
+	}
+	return true
+}
+
+// isPath reports whether v is a path below a top branch.
+func isPath(v string) bool {
+	if len(v) > maxPath {
+		return false
+	}
+	for element := range strings.SplitSeq(v, "/") {
+		if !isElement(element) {
+			return false
+		}
+	}
+	return true
+}
+
+func isElement(v string) bool {
+	if v == "" || len(v) > maxElement || v == "." || v == ".." {
+		return false
+	}
+	for i := range len(v) {
+		if !isElementByte(v[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func isElementByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	default:
+		return b == '-' || b == '_' || b == '.'
+	}
+}
+
+func isMethod(v string) bool {
+	for i := range len(v) {
+		if v[i] < 'A' || v[i] > 'Z' {
+			return false
+		}
+	}
+	return v != ""
+}
+
+// isAddress reports whether v is "host:port" with a host of letters, digits
+// and the punctuation of IP addresses.
+func isAddress(v string) bool {
+	i := strings.LastIndexByte(v, ':')
+	if i <= 0 {
+		return false
+	}
+	port, err := strconv.ParseUint(v[i+1:], 10, 16)
+	if err != nil || port == 0 {
+		return false
+	}
+	isBracketed := strings.HasPrefix(v, "[") && v[i-1] == ']'
+	host := v[:i]
+	if isBracketed {
+		host = v[1 : i-1]
+	}
+	for j := range len(host) {
+		if !isElementByte(host[j]) && (!isBracketed || host[j] != ':') {
+			return false
+		}
+	}
+	return host != ""
+}
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -102,6 +102,9 @@
 	NoticeLeaving        NoticeKind = "server_leaving"
 	NoticeVersion        NoticeKind = "configuration_in_force"
 	NoticeBadMessage     NoticeKind = "bad_peer_message"
+	// NoticeVersionRejected: a version in the store does not validate; the
+	// one before stays in force.
+	NoticeVersionRejected NoticeKind = "configuration_rejected"
 )
 
 // SetReady changes what /readyz answers.
