--- a/decision/configuration/problem.go
+++ b/decision/configuration/problem.go
@@ -20,17 +20,13 @@
 
 // String returns the problem as one line.
 func (p Problem) String() string {
-	branch := string(p.Branch)
-	if branch == "" {
-		branch = "(root)"
-	}
 	switch {
 	case p.Setting == "":
-		return fmt.Sprintf("%s: expected %s", branch, p.Expected)
+		return fmt.Sprintf("%s: expected %s", p.Branch, p.Expected)
 	case p.Value == "":
-		return fmt.Sprintf("%s: %s: expected %s", branch, p.Setting, p.Expected)
+		return fmt.Sprintf("%s: %s: expected %s", p.Branch, p.Setting, p.Expected)
 	default:
-		return fmt.Sprintf("%s: %s = %q: expected %s", branch, p.Setting, p.Value, p.Expected)
+		return fmt.Sprintf("%s: %s = %q: expected %s", p.Branch, p.Setting, p.Value, p.Expected)
 	}
 }
 
--- a/decision/configuration/tree.go
+++ b/decision/configuration/tree.go
@@ -28,6 +28,20 @@
 	return below
 }
 
+// String returns the path, "(root)" for the empty one.
+func (p Path) String() string {
+	if p == "" {
+		return "(root)"
+	}
+	return string(p)
+}
+
+// IsWithin reports whether p is the given branch or lies below it. Every path
+// is within the root.
+func (p Path) IsWithin(branch Path) bool {
+	return branch == "" || isWithin(string(p), string(branch))
+}
+
 // Settings are the values that one branch sets itself, by setting name, in the
 // notation of the tree ("20/s", "800ms", "true"). Lists hold one value a line.
 type Settings map[string]string
--- /dev/null
+++ b/host/operate/apply.go
@@ -0,0 +1,268 @@
+package operate
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/host/store"
+)
+
+// maxRaces bounds how often an edit is merged with one that came first.
+const maxRaces = 20
+
+// Edit is a change of the tree by one operator.
+type Edit struct {
+	Author string
+	Note   string
+	// Base is the revision that the edit was made from.
+	Base Revision
+	// Tree is the whole tree after the edit.
+	Tree configuration.Tree
+}
+
+// Result tells what an accepted edit did.
+type Result struct {
+	// Version is in the store now.
+	Version uint64
+	// Changes are the differences to the version before; none if the edit
+	// changed nothing.
+	Changes []configuration.Change
+	// MergedWith are the versions that came in between.
+	MergedWith []uint64
+}
+
+// InvalidError says that the tree after an edit does not validate. Nothing
+// was written.
+type InvalidError struct{ Problems configuration.Problems }
+
+// Error returns the problems, one a line.
+func (e *InvalidError) Error() string { return e.Problems.Error() }
+
+// ConflictError says that another edit changed the same settings in another
+// way. Nothing was written.
+type ConflictError struct {
+	Version   uint64 // in the store now
+	Author    string
+	Conflicts []configuration.Conflict
+	Changes   []configuration.Change // from the base to the version in the store
+}
+
+// Error tells the conflicts and then everything that changed since the base.
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "not applied: version %d by %s changed the same settings", e.Version, e.Author)
+	for _, c := range e.Conflicts {
+		b.WriteString("\n  " + c.String())
+	}
+	b.WriteString("\nchanged since the edit's base:")
+	for _, c := range e.Changes {
+		b.WriteString("\n  " + c.String())
+	}
+	return b.String()
+}
+
+// ErrMayHaveWritten says that the store did not answer the swap of the root,
+// and that it could not be read back.
+var ErrMayHaveWritten = merry.Sentinel("the store did not answer; the edit may have been written, see pollenctl tree history")
+
+// Apply validates an edit, merges it with those that came first and writes
+// it. Errors: *InvalidError, *ConflictError, ErrUnavailable,
+// ErrMayHaveWritten.
+func (r *Repository) Apply(ctx context.Context, edit Edit) (Result, error) {
+	var mergedWith []uint64
+	for range maxRaces {
+		current, err := r.Current(ctx)
+		if err != nil {
+			return Result{}, err
+		}
+		for v := edit.Base.Root.Version + 1; v <= current.Root.Version; v++ {
+			mergedWith = append(mergedWith, v)
+		}
+		tree, err := rebase(edit, current)
+		if err != nil {
+			return Result{}, err
+		}
+		result := Result{
+			Version:    current.Root.Version,
+			Changes:    configuration.Diff(current.Tree, tree),
+			MergedWith: mergedWith,
+		}
+		if len(result.Changes) == 0 {
+			return result, nil
+		}
+		isWritten, err := r.write(ctx, current, tree, edit)
+		if err != nil {
+			return Result{}, err
+		}
+		if isWritten {
+			result.Version++
+			return result, nil
+		}
+		edit.Base, edit.Tree = current, tree
+	}
+	return Result{}, merry.Errorf("not applied: %d other edits came first, try again", maxRaces)
+}
+
+// rebase returns the tree of an edit on top of the current revision.
+func rebase(edit Edit, current Revision) (configuration.Tree, error) {
+	tree := edit.Tree
+	if edit.Base.Root.Version != current.Root.Version {
+		merged, conflicts := configuration.Merge(edit.Base.Tree, edit.Tree, current.Tree)
+		if len(conflicts) > 0 {
+			return tree, &ConflictError{
+				Version:   current.Root.Version,
+				Author:    current.Root.Author,
+				Conflicts: conflicts,
+				Changes:   configuration.Diff(edit.Base.Tree, current.Tree),
+			}
+		}
+		tree = merged
+	}
+	if problems := configuration.Validate(tree); len(problems) > 0 {
+		return tree, &InvalidError{problems}
+	}
+	return tree, nil
+}
+
+// write stores the tree as the version after current. It reports false where
+// another edit came first.
+func (r *Repository) write(ctx context.Context, current Revision, tree configuration.Tree, edit Edit) (bool, error) {
+	refs, err := r.writeShards(ctx, current.Root, tree)
+	if err != nil {
+		return false, err
+	}
+	if err := r.keepHistory(ctx, current.Root); err != nil {
+		return false, err
+	}
+	root := configuration.Root{
+		Version: current.Root.Version + 1,
+		WriteID: rand.Text(),
+		Author:  edit.Author,
+		Note:    edit.Note,
+		Shards:  refs,
+	}
+	return r.swapRoot(ctx, current.storeVersion, root)
+}
+
+// writeShards writes the shards that the root does not name yet.
+func (r *Repository) writeShards(ctx context.Context, old configuration.Root, tree configuration.Tree) ([]configuration.ShardRef, error) {
+	refs, shards, err := encodeShards(tree)
+	if err != nil {
+		return nil, err
+	}
+	known := make(map[string]bool, len(old.Shards))
+	for _, ref := range old.Shards {
+		known[ref.Hash] = true
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(storeCalls)
+	for _, shard := range shards {
+		if !known[shard.Hash] {
+			group.Go(func() error { return r.put(ctx, shardKey(shard.Hash), shard.Encoded) })
+		}
+	}
+	return refs, group.Wait()
+}
+
+func encodeShards(tree configuration.Tree) ([]configuration.ShardRef, []configuration.Shard, error) {
+	parts := configuration.Split(tree)
+	refs := make([]configuration.ShardRef, 0, len(parts))
+	shards := make([]configuration.Shard, 0, len(parts))
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		shard, err := store.EncodeShard(parts[name])
+		if err != nil {
+			return nil, nil, err
+		}
+		refs = append(refs, configuration.ShardRef{Name: name, Hash: shard.Hash})
+		shards = append(shards, shard)
+	}
+	return refs, shards, nil
+}
+
+// keepHistory copies a root that is about to be replaced.
+func (r *Repository) keepHistory(ctx context.Context, root configuration.Root) error {
+	if root.Version == 0 {
+		return nil
+	}
+	value, err := encodeRoot(root)
+	if err != nil {
+		return err
+	}
+	return r.put(ctx, historyKey(root.Version), value)
+}
+
+// swapRoot writes the root, once. It reports false where another edit came
+// first. A swap without an answer is read back before it is repeated; the
+// repeated swap has the same write id and expects the same store version, so
+// that at most one of them takes effect.
+func (r *Repository) swapRoot(ctx context.Context, storeVersion uint64, root configuration.Root) (bool, error) {
+	value, err := encodeRoot(root)
+	if err != nil {
+		return false, err
+	}
+	isDoubtful := false
+	err = r.repeat(ctx, func() error {
+		if isDoubtful {
+			if fate, err := r.fate(ctx, root); err != nil || fate != fateOpen {
+				return err
+			}
+		}
+		_, err := r.store.CompareAndSwap(ctx, rootKey, storeVersion, value)
+		isDoubtful = isDoubtful || isUnavailable(err)
+		return err
+	})
+	switch {
+	case err == nil && !isDoubtful:
+		return true, nil
+	case err != nil && !isDoubtful:
+		return false, ignoreConflict(err)
+	}
+	fate, fateErr := r.fate(ctx, root)
+	if fateErr != nil || fate == fateOpen {
+		return false, merry.Wrap(ErrMayHaveWritten, merry.AppendMessagef("write id %s", root.WriteID))
+	}
+	return fate == fateWritten, nil
+}
+
+func ignoreConflict(err error) error {
+	if isConflict(err) {
+		return nil
+	}
+	return err
+}
+
+// fate is what became of a swap of the root.
+type fate uint8
+
+const (
+	fateOpen    fate = iota // the version before is still in the store
+	fateWritten             // it took effect
+	fateLost                // another edit has its version
+)
+
+// fate reads back what became of a swap. A version that was replaced since is
+// in the history.
+func (r *Repository) fate(ctx context.Context, root configuration.Root) (fate, error) {
+	stored, _, err := r.root(ctx, rootKey)
+	if err == nil && stored.Version > root.Version {
+		stored, err = r.rootAt(ctx, root.Version)
+	}
+	switch {
+	case err != nil:
+		return fateOpen, err
+	case stored.Version < root.Version:
+		return fateOpen, nil
+	case stored.WriteID == root.WriteID:
+		return fateWritten, nil
+	default:
+		return fateLost, nil
+	}
+}
--- /dev/null
+++ b/host/operate/fake_test.go
@@ -0,0 +1,130 @@
+package operate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/model"
+	"pollensail.dev/host/treefile"
+)
+
+// fakeStore is a store in memory. before and after run around each swap, so
+// that a test can let another operator come first or lose an answer.
+type fakeStore struct {
+	mu      sync.Mutex
+	records map[string]fakeRecord
+	hosts   []model.HostEntry
+	swaps   map[string]int // swaps that took effect, by key
+	before  func(key string) error
+	after   func(key string) error
+}
+
+type fakeRecord struct {
+	value   []byte
+	version uint64
+}
+
+func newFakeStore() *fakeStore {
+	noError := func(string) error { return nil }
+	return &fakeStore{
+		records: make(map[string]fakeRecord),
+		swaps:   make(map[string]int),
+		before:  noError,
+		after:   noError,
+	}
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) ([]byte, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.records[key]
+	return r.value, r.version, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, key string, version uint64, value []byte) (uint64, error) {
+	if err := f.before(key); err != nil {
+		return 0, err
+	}
+	if !f.swap(key, version, value) {
+		return 0, ErrConflict
+	}
+	return version + 1, f.after(key)
+}
+
+func (f *fakeStore) swap(key string, version uint64, value []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.records[key].version != version {
+		return false
+	}
+	f.records[key] = fakeRecord{value, version + 1}
+	f.swaps[key]++
+	return true
+}
+
+func (f *fakeStore) HostList(context.Context) ([]model.HostEntry, error) { return f.hosts, nil }
+
+// once returns a hook that runs fn on the first call for the root only.
+func once(fn func() error) func(string) error {
+	var isDone bool
+	return func(key string) error {
+		if key != rootKey || isDone {
+			return nil
+		}
+		isDone = true
+		return fn()
+	}
+}
+
+// newFakeRepository returns a repository that does not wait between tries.
+func newFakeRepository(f *fakeStore) *Repository {
+	r := NewRepository(f)
+	r.pause = func(context.Context, time.Duration) error { return nil }
+	return r
+}
+
+const sampleFile = `
+domains = ["north", "south"]
+
+["accounts/institutes"]
+rate = "20/s"
+burst = 40
+
+["accounts/institutes/ntnu"]
+
+["accounts/institutes/uio"]
+
+["routes/rings"]
+path = "/rings"
+service = "lookup"
+
+["services/lookup"]
+servers = ["10.0.0.1:8080"]
+`
+
+func sampleTree(c *qt.C) configuration.Tree {
+	f, err := treefile.Decode("sample.toml", []byte(sampleFile))
+	c.Assert(err, qt.IsNil)
+	return f.Tree
+}
+
+// newSampleRepository returns a repository with the sample as version 1.
+func newSampleRepository(c *qt.C) (*Repository, *fakeStore) {
+	f := newFakeStore()
+	r := newFakeRepository(f)
+	result, err := r.Apply(context.Background(), Edit{Author: "setup", Tree: sampleTree(c)})
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Version, qt.Equals, uint64(1))
+	return r, f
+}
+
+// edit applies assignments at a branch on top of a base.
+func edit(r *Repository, author string, base Revision, path, name, value string) (Result, error) {
+	p := configuration.Path(path)
+	tree := Assign(base.Tree, p, []Assignment{{Name: name, Value: value}})
+	return r.Apply(context.Background(), Edit{Author: author, Base: base, Tree: tree})
+}
--- /dev/null
+++ b/host/operate/history.go
@@ -0,0 +1,55 @@
+package operate
+
+import (
+	"context"
+
+	"pollensail.dev/decision/configuration"
+)
+
+// HistoryEntry is one version of the tree.
+type HistoryEntry struct {
+	Version uint64
+	Author  string
+	Note    string
+	WriteID string
+	// ChangedShards counts the shards that the version before does not have.
+	ChangedShards int
+}
+
+// History returns up to limit versions, the newest first.
+func (r *Repository) History(ctx context.Context, limit int) ([]HistoryEntry, error) {
+	root, _, err := r.root(ctx, rootKey)
+	if err != nil {
+		return nil, err
+	}
+	var entries []HistoryEntry
+	for root.Version > 0 && len(entries) < limit {
+		before, _, err := r.root(ctx, historyKey(root.Version-1))
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, HistoryEntry{
+			Version:       root.Version,
+			Author:        root.Author,
+			Note:          root.Note,
+			WriteID:       root.WriteID,
+			ChangedShards: countNew(before.Shards, root.Shards),
+		})
+		root = before
+	}
+	return entries, nil
+}
+
+func countNew(before, after []configuration.ShardRef) int {
+	known := make(map[string]bool, len(before))
+	for _, ref := range before {
+		known[ref.Hash] = true
+	}
+	n := 0
+	for _, ref := range after {
+		if !known[ref.Hash] {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/host/operate/keys.go
@@ -0,0 +1,100 @@
+package operate
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/model"
+)
+
+// keySize is the size in bytes of a random key.
+const keySize = 32
+
+// settingKeys is the setting that holds the hashes of an account's keys.
+const settingKeys = "keys"
+
+// Grant is a key that an account got. Only its hash is stored.
+type Grant struct {
+	Account model.AccountID
+	Key     string
+	Hash    string // in the notation of the tree
+	Result  Result
+}
+
+// GrantKey makes a random key for an account. On an error the key does not
+// work, but for ErrMayHaveWritten.
+func (r *Repository) GrantKey(ctx context.Context, account model.AccountID, author string) (Grant, error) {
+	key := newKey()
+	grant := Grant{Account: account, Key: key, Hash: HashKey(key)}
+	current, err := r.Current(ctx)
+	if err != nil {
+		return grant, err
+	}
+	p, keys, err := accountKeys(current.Tree, account)
+	if err != nil {
+		return grant, err
+	}
+	assignment := Assignment{Name: settingKeys, Value: withLine(keys, grant.Hash)}
+	grant.Result, err = r.Apply(ctx, Edit{
+		Author: author,
+		Note:   "grant a key to " + string(account),
+		Base:   current,
+		Tree:   Assign(current.Tree, p, []Assignment{assignment}),
+	})
+	return grant, err
+}
+
+// WithdrawKey removes a key, given as such or as its hash, from an account.
+func (r *Repository) WithdrawKey(ctx context.Context, account model.AccountID, keyOrHash, author string) (Result, error) {
+	current, err := r.Current(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	p, keys, err := accountKeys(current.Tree, account)
+	if err != nil {
+		return Result{}, err
+	}
+	remaining, ok := withoutLine(keys, hashOf(keyOrHash))
+	if !ok {
+		return Result{}, merry.Errorf("account %s has no such key", account)
+	}
+	assignment := Assignment{Name: settingKeys, Value: remaining, Unset: remaining == ""}
+	return r.Apply(ctx, Edit{
+		Author: author,
+		Note:   "withdraw a key of " + string(account),
+		Base:   current,
+		Tree:   Assign(current.Tree, p, []Assignment{assignment}),
+	})
+}
+
+// HashKey returns the hash of a key in the notation of the tree.
+func HashKey(key string) string { return configuration.FormatKey(sha256.Sum256([]byte(key))) }
+
+// hashOf returns the hash of a key that is given as such or as its hash.
+func hashOf(keyOrHash string) string {
+	if _, ok := configuration.ParseKey(strings.ToLower(keyOrHash)); ok {
+		return strings.ToLower(keyOrHash)
+	}
+	return HashKey(keyOrHash)
+}
+
+func newKey() string {
+	random := make([]byte, keySize)
+	rand.Read(random)
+	return base64.RawURLEncoding.EncodeToString(random)
+}
+
+func accountKeys(tree configuration.Tree, account model.AccountID) (configuration.Path, string, error) {
+	p := configuration.Path(configuration.TopAccounts + "/" + string(account))
+	settings, ok := tree.Branches[p]
+	if !ok {
+		return p, "", merry.Errorf("there is no account %s; accounts are branches below %q", account, configuration.TopAccounts)
+	}
+	return p, settings[settingKeys], nil
+}
--- /dev/null
+++ b/host/operate/preview.go
@@ -0,0 +1,28 @@
+package operate
+
+import (
+	"context"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/host/treefile"
+)
+
+// Preview returns what applying a file would change in the newest version.
+// Errors: *InvalidError, *ConflictError, ErrUnavailable.
+func (r *Repository) Preview(ctx context.Context, f treefile.File) ([]configuration.Change, error) {
+	current, err := r.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	base := current
+	if f.Base > 0 {
+		if base, err = r.At(ctx, f.Base); err != nil {
+			return nil, err
+		}
+	}
+	tree, err := rebase(Edit{Base: base, Tree: WithFile(base.Tree, f)}, current)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.Diff(current.Tree, tree), nil
+}
--- /dev/null
+++ b/host/store/doc.go
@@ -0,0 +1,2 @@
+// Package store connects a host with the platform's key-value service.
+package store
