--- a/host/treefile/decode.go
+++ b/host/treefile/decode.go
@@ -39,7 +39,7 @@
 	if errors.As(err, &parse) {
 		return &Error{File: name, Line: parse.Position.Line, Key: parse.LastKey, Expected: "valid TOML: " + parse.Message}
 	}
-	return &Error{File: name, Expected: err.Error()}
+	return &Error{File: name, Expected: "valid TOML: " + err.Error()}
 }
 
 type decoder struct {
--- a/host/treefile/error.go
+++ b/host/treefile/error.go
@@ -22,7 +22,7 @@
 		place = fmt.Sprintf("%s:%d", e.File, e.Line)
 	}
 	if e.Key == "" {
-		return fmt.Sprintf("%s: %s", place, e.Expected)
+		return fmt.Sprintf("%s: expected %s", place, e.Expected)
 	}
 	return fmt.Sprintf("%s: %s: expected %s", place, e.Key, e.Expected)
 }
