--- /dev/null
+++ b/host/settings/settings.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"time"
+
+	"pollensail.dev/decision/model"
+)
+
+// Settings are the settings of one pollensail process. Load fills in the
+// defaults.
+type Settings struct {
+	Host   model.HostID   `toml:"host"`   // required
+	Domain model.DomainID `toml:"domain"` // required, the failure domain
+	Listen Listen         `toml:"listen"`
+	Store  Store          `toml:"store"`
+	TLS    TLS            `toml:"tls"`
+	Limits Limits         `toml:"limits"`
+	Log    Log            `toml:"log"`
+}
+
+// Listen holds the addresses, as "ip:port", on which the process listens. All
+// are required. Port 0 takes any free port.
+type Listen struct {
+	Caller   Address `toml:"caller"`
+	Peer     Address `toml:"peer"`
+	Operator Address `toml:"operator"`
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	Address Address  `toml:"address"` // required
+	Timeout Duration `toml:"timeout"` // of one call; default 1s
+}
+
+// TLS names the files for mutual TLS between hosts. Either Insecure is true or
+// all three files are given.
+type TLS struct {
+	Certificate string `toml:"certificate"` // PEM file; its DNS name or common name is the host id
+	Key         string `toml:"key"`         // PEM file
+	Authority   string `toml:"authority"`   // PEM file of the authorities that sign hosts' certificates
+	Insecure    bool   `toml:"insecure"`    // plain TCP between hosts, any sender is believed
+}
+
+// Limits bound what a process accepts.
+type Limits struct {
+	Connections   int      `toml:"connections"`    // of callers; default 10000
+	RequestHeader Size     `toml:"request_header"` // default 16KiB
+	RequestBody   Size     `toml:"request_body"`   // default 4MiB
+	AnswerHeader  Size     `toml:"answer_header"`  // default 16KiB
+	ReadTimeout   Duration `toml:"read_timeout"`   // of a whole request; default 30s
+	WriteTimeout  Duration `toml:"write_timeout"`  // of a whole answer; default 10m
+	IdleTimeout   Duration `toml:"idle_timeout"`   // of a caller's connection; default 60s
+	DialTimeout   Duration `toml:"dial_timeout"`   // of a connection to a backend server or peer; default 250ms
+	PeerMessage   Size     `toml:"peer_message"`   // default 8MiB, which holds a handover
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `toml:"level"` // debug, info, warn or error; default info
+}
+
+func defaults() Settings {
+	return Settings{
+		Store: Store{Timeout: Duration(time.Second)},
+		Limits: Limits{
+			Connections:   10000,
+			RequestHeader: 16 * KiB,
+			RequestBody:   4 * MiB,
+			AnswerHeader:  16 * KiB,
+			ReadTimeout:   Duration(30 * time.Second),
+			WriteTimeout:  Duration(10 * time.Minute),
+			IdleTimeout:   Duration(time.Minute),
+			DialTimeout:   Duration(250 * time.Millisecond),
+			PeerMessage:   8 * MiB,
+		},
+		Log: Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/host/settings/units.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Address is an "ip:port" address.
+type Address string
+
+// UnmarshalText parses an address. Host names are refused, because processes
+// reach one another by IP address.
+func (a *Address) UnmarshalText(text []byte) error {
+	if _, err := netip.ParseAddrPort(string(text)); err != nil {
+		return expected(string(text), `an address such as "127.0.0.1:8080"`)
+	}
+	*a = Address(text)
+	return nil
+}
+
+// Duration is a positive time span, written with a unit, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText parses a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil || v <= 0 {
+		return expected(string(text), `a positive duration such as "5s" or "250ms"`)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Size is a positive number of bytes, written with a unit, such as "64KiB".
+type Size int64
+
+// The units of Size.
+const (
+	Byte Size = 1
+	KiB       = 1024 * Byte
+	MiB       = 1024 * KiB
+)
+
+// maxSize keeps a size within an int on every platform.
+const maxSize = 1024 * MiB
+
+var sizeUnits = []struct {
+	suffix string
+	unit   Size
+}{{"KiB", KiB}, {"MiB", MiB}, {"B", Byte}}
+
+// UnmarshalText parses a size.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range sizeUnits {
+		number, ok := strings.CutSuffix(string(text), u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(number, 10, 31)
+		if err != nil || n == 0 || Size(n) > maxSize/u.unit {
+			break
+		}
+		*s = Size(n) * u.unit
+		return nil
+	}
+	return expected(string(text), `a size of 1B to 1024MiB, such as "64KiB"`)
+}
+
+func expected(got, want string) error {
+	return fmt.Errorf("got %q, expected %s", got, want)
+}
--- /dev/null
+++ b/host/store/hosts.go
@@ -0,0 +1,58 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"pollensail.dev/decision/model"
+)
+
+// HostJSON is one entry of the platform's host list in JSON.
+type HostJSON struct {
+	ID       string          `json:"id"`
+	Role     model.Role      `json:"role"`
+	Domain   model.DomainID  `json:"domain"`
+	Service  model.ServiceID `json:"service,omitempty"`
+	Peer     string          `json:"peer,omitempty"`
+	Operator string          `json:"operator,omitempty"`
+	Leaving  bool            `json:"leaving,omitempty"`
+	Since    model.WallTime  `json:"since,omitempty"` // milliseconds since 1970
+}
+
+// decodeHosts decodes a host list. One broken entry refuses the list, because
+// half a list would look like a loss of hosts.
+func decodeHosts(data []byte) ([]model.HostEntry, error) {
+	var list []HostJSON
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, broken(err)
+	}
+	entries := make([]model.HostEntry, 0, len(list))
+	for _, h := range list {
+		if err := h.check(); err != nil {
+			return nil, broken(err)
+		}
+		entries = append(entries, model.HostEntry(h))
+	}
+	return entries, nil
+}
+
+func (h HostJSON) check() error {
+	switch {
+	case h.ID == "":
+		return fmt.Errorf("host without id")
+	case h.Role == model.RoleEntry:
+		return checkAddress(h.ID, h.Peer)
+	case h.Role == model.RoleBackend:
+		return checkAddress(h.ID, h.ID)
+	default:
+		return fmt.Errorf("host %q: unknown role %q", h.ID, h.Role)
+	}
+}
+
+func checkAddress(id, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("host %q: address %q is not ip:port", id, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/host/store/records.go
@@ -0,0 +1,176 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/model"
+)
+
+// rootKey is the key of the record that names the tree in force.
+const rootKey = "root"
+
+// Records is the typed view of the fleet's records in a Store.
+type Records struct{ Store Store }
+
+// Slot reads a slot's record. Version 0 means that there is none.
+func (r Records) Slot(ctx context.Context, id model.SlotID) (model.SlotRecord, uint64, error) {
+	value, version, err := r.Store.Get(ctx, slotKey(id))
+	if err != nil || version == 0 {
+		return model.SlotRecord{}, 0, err
+	}
+	record, err := decodeSlot(value)
+	return record, version, err
+}
+
+// SwapSlot writes a slot's record if its version is still the given one.
+func (r Records) SwapSlot(ctx context.Context, id model.SlotID, version uint64, record model.SlotRecord) (uint64, error) {
+	value, err := json.Marshal(slotJSON{
+		Host:        record.Owner.ID,
+		Incarnation: record.Owner.Incarnation,
+		Term:        record.Term,
+		Renewal:     record.Renewal,
+		Continuous:  record.Continuous,
+	})
+	if err != nil {
+		return 0, err
+	}
+	return r.Store.CompareAndSwap(ctx, slotKey(id), version, value)
+}
+
+// Root reads the root record. Version 0 means that there is none.
+func (r Records) Root(ctx context.Context) (configuration.Root, uint64, error) {
+	return decodeRootAnswer(r.Store.Get(ctx, rootKey))
+}
+
+// WatchRoot reads the root once its store version is greater than after, or
+// the platform ends the wait.
+func (r Records) WatchRoot(ctx context.Context, after uint64) (configuration.Root, uint64, error) {
+	return decodeRootAnswer(r.Store.Watch(ctx, rootKey, after))
+}
+
+// SwapRoot writes the root if its store version is still the given one.
+func (r Records) SwapRoot(ctx context.Context, version uint64, root configuration.Root) (uint64, error) {
+	value, err := json.Marshal(encodeRoot(root))
+	if err != nil {
+		return 0, err
+	}
+	return r.Store.CompareAndSwap(ctx, rootKey, version, value)
+}
+
+// Shard reads one shard and checks it against its hash. A missing shard is
+// ErrBroken.
+func (r Records) Shard(ctx context.Context, hash string) (configuration.Shard, error) {
+	value, version, err := r.Store.Get(ctx, shardKey(hash))
+	if err != nil {
+		return configuration.Shard{}, err
+	}
+	if version == 0 {
+		return configuration.Shard{}, broken(fmt.Errorf("shard %s: not in the store", hash))
+	}
+	return DecodeShard(hash, value)
+}
+
+// PutShard writes a shard. A shard that is already there is success, since
+// shards never change.
+func (r Records) PutShard(ctx context.Context, shard configuration.Shard) error {
+	_, err := r.Store.CompareAndSwap(ctx, shardKey(shard.Hash), 0, shard.Encoded)
+	if errors.Is(err, ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+func slotKey(id model.SlotID) string {
+	return "slot/" + string(id.Domain) + "/" + strconv.Itoa(id.Index)
+}
+
+func shardKey(hash string) string { return "shard/" + hash }
+
+type slotJSON struct {
+	Host        model.HostID `json:"host"`
+	Incarnation uint64       `json:"incarnation"`
+	Term        uint64       `json:"term"`
+	Renewal     uint64       `json:"renewal"`
+	Continuous  bool         `json:"continuous"`
+}
+
+func decodeSlot(value []byte) (model.SlotRecord, error) {
+	var s slotJSON
+	if err := decodeStrict(value, &s); err != nil {
+		return model.SlotRecord{}, broken(fmt.Errorf("slot: %w", err))
+	}
+	if s.Host == "" || s.Term == 0 {
+		return model.SlotRecord{}, broken(errors.New("slot: no host or term"))
+	}
+	return model.SlotRecord{
+		Owner:      model.HostRef{ID: s.Host, Incarnation: s.Incarnation},
+		Term:       s.Term,
+		Renewal:    s.Renewal,
+		Continuous: s.Continuous,
+	}, nil
+}
+
+type rootJSON struct {
+	Version uint64      `json:"version"`
+	WriteID string      `json:"write_id"`
+	Author  string      `json:"author"`
+	Note    string      `json:"note"`
+	Shards  []shardJSON `json:"shards"`
+}
+
+type shardJSON struct {
+	Name string `json:"name"`
+	Hash string `json:"hash"`
+}
+
+func encodeRoot(root configuration.Root) rootJSON {
+	r := rootJSON{Version: root.Version, WriteID: root.WriteID, Author: root.Author, Note: root.Note}
+	for _, s := range root.Shards {
+		r.Shards = append(r.Shards, shardJSON(s))
+	}
+	return r
+}
+
+func decodeRootAnswer(value []byte, version uint64, err error) (configuration.Root, uint64, error) {
+	if err != nil || version == 0 {
+		return configuration.Root{}, 0, err
+	}
+	root, err := decodeRoot(value)
+	return root, version, err
+}
+
+func decodeRoot(value []byte) (configuration.Root, error) {
+	var r rootJSON
+	if err := decodeStrict(value, &r); err != nil {
+		return configuration.Root{}, broken(fmt.Errorf("root: %w", err))
+	}
+	if r.Version == 0 {
+		return configuration.Root{}, broken(errors.New("root: no version"))
+	}
+	root := configuration.Root{Version: r.Version, WriteID: r.WriteID, Author: r.Author, Note: r.Note}
+	for _, s := range r.Shards {
+		root.Shards = append(root.Shards, configuration.ShardRef(s))
+	}
+	return root, nil
+}
+
+// decodeStrict decodes one JSON value and refuses unknown fields and anything
+// after it.
+func decodeStrict(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
--- /dev/null
+++ b/host/store/shard.go
@@ -0,0 +1,77 @@
+package store
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"unicode/utf8"
+
+	"pollensail.dev/decision/configuration"
+)
+
+// MaxShardSize is the size in bytes up to which a writer fills a shard. A
+// single branch that is larger has a shard of its own.
+const MaxShardSize = 32 << 10
+
+// EncodeShard encodes branches as canonical JSON, with sorted keys and no
+// spaces, so that equal branches have equal hashes. It refuses text that is
+// not UTF-8, which JSON would change.
+func EncodeShard(branches map[configuration.Path]configuration.Settings) (configuration.Shard, error) {
+	if err := checkText(branches); err != nil {
+		return configuration.Shard{}, err
+	}
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(withoutNil(branches)); err != nil {
+		return configuration.Shard{}, err
+	}
+	encoded := bytes.TrimSuffix(b.Bytes(), []byte("\n"))
+	return configuration.Shard{Hash: hashOf(encoded), Encoded: encoded, Branches: branches}, nil
+}
+
+// DecodeShard decodes a shard and checks it against the hash. Errors match
+// ErrBroken.
+func DecodeShard(hash string, encoded []byte) (configuration.Shard, error) {
+	if got := hashOf(encoded); got != hash {
+		return configuration.Shard{}, broken(fmt.Errorf("shard %q: content has hash %s", hash, got))
+	}
+	branches := make(map[configuration.Path]configuration.Settings)
+	if err := decodeStrict(encoded, &branches); err != nil {
+		return configuration.Shard{}, broken(fmt.Errorf("shard %s: %w", hash, err))
+	}
+	return configuration.Shard{Hash: hash, Encoded: encoded, Branches: withoutNil(branches)}, nil
+}
+
+func hashOf(encoded []byte) string {
+	sum := sha256.Sum256(encoded)
+	return hex.EncodeToString(sum[:])
+}
+
+// withoutNil replaces nil settings, so that a branch without settings has one
+// encoding and null is not told apart from it.
+func withoutNil(branches map[configuration.Path]configuration.Settings) map[configuration.Path]configuration.Settings {
+	full := make(map[configuration.Path]configuration.Settings, len(branches))
+	for path, settings := range branches {
+		if settings == nil {
+			settings = configuration.Settings{}
+		}
+		full[path] = settings
+	}
+	return full
+}
+
+func checkText(branches map[configuration.Path]configuration.Settings) error {
+	for path, settings := range branches {
+		ok := utf8.ValidString(string(path))
+		for name, value := range settings {
+			ok = ok && utf8.ValidString(name) && utf8.ValidString(value)
+		}
+		if !ok {
+			return fmt.Errorf("branch %q: not UTF-8", path)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,34 @@
+// Command standin runs one of the stand-ins: the platform store, a backend
+// server, a caller, or a lossy relay. It is for tests, the demo and
+// measurements, and is not shipped.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newRoot().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "standin",
+		Short:         "Stand-ins for the platform, backend servers and callers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newStore(), newBackend())
+	return root
+}
--- /dev/null
+++ b/standin/kv/faults.go
@@ -0,0 +1,90 @@
+package kv
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Faults are the faults in force. The zero value is none.
+type Faults struct {
+	// Outage cuts every connection without an answer, waiting watches too.
+	Outage bool `json:"outage"`
+	// LostAnswers is how many of the next writes take effect although their
+	// connection is cut; negative for all.
+	LostAnswers int `json:"lost_answers"`
+	// DelayMillis delays every answer.
+	DelayMillis int `json:"delay_ms"`
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	close(s.faultsChanged)
+	s.faultsChanged = make(chan struct{})
+}
+
+func (s *Server) currentFaults() (Faults, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults, s.faultsChanged
+}
+
+// loseAnswer reports whether the answer to a write is to be lost.
+func (s *Server) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LostAnswers > 0 {
+		s.faults.LostAnswers--
+		return true
+	}
+	return s.faults.LostAnswers < 0
+}
+
+// withFaults applies outage and delay to the platform's protocol.
+func (s *Server) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/v1/") {
+			next.ServeHTTP(w, r)
+			return
+		}
+		s.pause(r)
+		if f, _ := s.currentFaults(); f.Outage {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) pause(r *http.Request) {
+	f, changed := s.currentFaults()
+	if f.DelayMillis <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(f.DelayMillis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-r.Context().Done():
+	}
+}
+
+func (s *Server) servePutFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	f, _ := s.currentFaults()
+	writeJSON(w, f)
+}
--- /dev/null
+++ b/standin/kv/hosts.go
@@ -0,0 +1,72 @@
+package kv
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Host is one entry of the host list.
+type Host struct {
+	ID       string `json:"id"`
+	Role     string `json:"role"` // "entry" or "backend"
+	Domain   string `json:"domain"`
+	Service  string `json:"service,omitempty"`
+	Peer     string `json:"peer,omitempty"`
+	Operator string `json:"operator,omitempty"`
+	Leaving  bool   `json:"leaving,omitempty"`
+	Since    int64  `json:"since,omitempty"` // milliseconds since 1970; set when first listed
+}
+
+type hosts struct {
+	mu   sync.Mutex
+	byID map[string]Host
+}
+
+func (h *hosts) put(host Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	host.Since = cmp.Or(host.Since, h.byID[host.ID].Since, time.Now().UnixMilli())
+	h.byID[host.ID] = host
+}
+
+func (h *hosts) remove(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.byID, id)
+}
+
+func (h *hosts) list() []Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]Host, 0, len(h.byID))
+	for _, host := range h.byID {
+		list = append(list, host)
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (s *Server) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	s.calls.Hosts.Add(1)
+	writeJSON(w, s.hosts.list())
+}
+
+func (s *Server) servePutHost(w http.ResponseWriter, r *http.Request) {
+	var host Host
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&host); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	host.ID = r.PathValue("id")
+	s.hosts.put(host)
+}
+
+func (s *Server) serveDeleteHost(_ http.ResponseWriter, r *http.Request) {
+	s.hosts.remove(r.PathValue("id"))
+}
