--- a/host/store/shard.go
+++ b/host/store/shard.go
@@ -5,9 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"unicode/utf8"
 
 	"pollensail.dev/decision/configuration"
@@ -77,19 +75,3 @@
 	}
 	return nil
 }
-
-func broken(err error) error { return fmt.Errorf("store: broken record: %w", err) }
-
-// decodeStrict decodes one JSON value and refuses unknown fields and anything
-// after it.
-func decodeStrict(data []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return errors.New("data after the JSON value")
-	}
-	return nil
-}
