--- a/decision/configuration/bench_test.go
+++ b/decision/configuration/bench_test.go
@@ -9,10 +9,11 @@
 const (
 	targetAccounts = 48_000
 	targetRoutes   = 3_900
+	targetServices = 140
 )
 
 func BenchmarkCompile(b *testing.B) {
-	tree := largeTree(targetAccounts, targetRoutes)
+	tree := largeTree(targetAccounts, targetRoutes, targetServices)
 	for b.Loop() {
 		if _, problems := Compile(tree, 1); len(problems) > 0 {
 			b.Fatal(problems[0])
@@ -22,7 +23,7 @@
 
 // BenchmarkSnapshotMemory reports the bytes that a snapshot keeps alive.
 func BenchmarkSnapshotMemory(b *testing.B) {
-	tree := largeTree(targetAccounts, targetRoutes)
+	tree := largeTree(targetAccounts, targetRoutes, targetServices)
 	for b.Loop() {
 		before := heapInUse()
 		snapshot, _ := Compile(tree, 1)
@@ -33,14 +34,14 @@
 }
 
 func BenchmarkSplit(b *testing.B) {
-	tree := largeTree(targetAccounts, targetRoutes)
+	tree := largeTree(targetAccounts, targetRoutes, targetServices)
 	for b.Loop() {
 		b.ReportMetric(float64(len(Split(tree))), "shards")
 	}
 }
 
 func BenchmarkMatch(b *testing.B) {
-	snapshot, _ := Compile(largeTree(100, targetRoutes), 1)
+	snapshot, _ := Compile(largeTree(100, targetRoutes, targetServices), 1)
 	for b.Loop() {
 		snapshot.Match("/area07/route0007/some/thing")
 	}
@@ -53,3 +54,22 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkRebuild applies an edit of one account at the target size.
+func BenchmarkRebuild(b *testing.B) {
+	before := largeTree(targetAccounts, targetRoutes, targetServices)
+	old, _ := Compile(before, 1)
+	after := before.Clone()
+	after.Set("accounts/group07/customer00007", "keys", key(targetAccounts))
+	parts := Split(after)
+	oldRoot, newRoot := rootOf(1, Split(before)), rootOf(2, parts)
+	for b.Loop() {
+		build := Rebuild(old, oldRoot, newRoot)
+		for _, ref := range ChangedShards(oldRoot, newRoot) {
+			build.Add(ref.Name, parts[ref.Name])
+		}
+		if _, problems := build.Finish(); len(problems) > 0 {
+			b.Fatal(problems[0])
+		}
+	}
+}
--- a/decision/configuration/edit_test.go
+++ b/decision/configuration/edit_test.go
@@ -99,7 +99,7 @@
 // store and against a small edit that rewrites many of them.
 func TestSplitSizeAndStability(t *testing.T) {
 	c := qt.New(t)
-	tree := largeTree(48_000, 3_900)
+	tree := largeTree(targetAccounts, targetRoutes, targetServices)
 	before := Split(tree)
 	for name, branches := range before {
 		paths := make([]Path, 0, len(branches))
--- a/decision/configuration/routeindex.go
+++ b/decision/configuration/routeindex.go
@@ -15,6 +15,14 @@
 	x.byPath[trimSlash(r.Path)] = r
 }
 
+// get returns the route of exactly this path.
+func (x *routeIndex) get(path string) (*Route, bool) {
+	r, ok := x.byPath[trimSlash(path)]
+	return r, ok
+}
+
+func (x *routeIndex) remove(r *Route) { delete(x.byPath, trimSlash(r.Path)) }
+
 func (x *routeIndex) match(path string) (*Route, bool) {
 	path = trimSlash(path)
 	for {
--- a/decision/configuration/sample_test.go
+++ b/decision/configuration/sample_test.go
@@ -45,10 +45,10 @@
 services/filing: connections=350, cold_ramp=0s, queue=0
 `
 
-// largeTree returns a tree of the target size.
-func largeTree(accounts, routes int) Tree {
+// largeTree returns a tree of the given size, with 55 servers in a service.
+func largeTree(accounts, routes, services int) Tree {
 	tree := parseTree("/: domains=a|b|c|d|e|f\naccounts: weight=1")
-	for i := range 140 {
+	for i := range services {
 		p := Path(fmt.Sprintf("services/s%03d", i))
 		servers := make([]string, 55)
 		for j := range servers {
@@ -59,7 +59,7 @@
 	for i := range routes {
 		p := Path(fmt.Sprintf("routes/area%02d/r%04d", i%40, i))
 		tree.Set(p, "path", fmt.Sprintf("/area%02d/route%04d", i%40, i))
-		tree.Set(p, "service", fmt.Sprintf("s%03d", i%140))
+		tree.Set(p, "service", fmt.Sprintf("s%03d", i%services))
 	}
 	for i := range 100 {
 		p := Path(fmt.Sprintf("accounts/group%02d", i))
--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -18,6 +18,7 @@
 	Services       map[model.ServiceID]*Service
 	Routes         map[model.RouteID]*Route
 	index          routeIndex
+	inner          map[Path]Settings // the branches that objects inherit from
 }
 
 // Account is a client account.
--- a/decision/configuration/split.go
+++ b/decision/configuration/split.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"maps"
+	"strings"
 )
 
 // maxShardSize is the size in bytes, about, above which a shard is divided.
@@ -99,6 +99,47 @@
 	}
 }
 
+// IsInnerShard reports whether a shard holds the root or inner branches.
+func IsInnerShard(name string) bool {
+	group, _, _ := strings.Cut(name, "-")
+	return group == rootShard || strings.HasSuffix(group, innerSuffix)
+}
+
+// shardTop returns the top branch of a shard, empty for that of the root.
+func shardTop(name string) string {
+	group, _, _ := strings.Cut(name, "-")
+	if group == rootShard {
+		return ""
+	}
+	return strings.TrimSuffix(group, innerSuffix)
+}
+
+// shardRange is the part of a top branch that a shard holds: the paths whose
+// hash begins with the given bits.
+type shardRange struct {
+	top   string
+	bits  uint32 // the first of them is the highest bit
+	count int
+}
+
+// rangeOf reports false for a name that Split does not give.
+func rangeOf(name string) (shardRange, bool) {
+	_, digits, _ := strings.Cut(name, "-")
+	r := shardRange{top: shardTop(name), count: len(digits)}
+	for i, digit := range []byte(digits) {
+		if digit != '0' && digit != '1' || i >= maxDivisions {
+			return r, false
+		}
+		r.bits |= uint32(digit-'0') << (31 - i)
+	}
+	return r, true
+}
+
+// holds reports whether the path "top/below" is in the range.
+func (r shardRange) holds(top, below string) bool {
+	return top == r.top && (r.bits^pathHash(top, below))>>(32-r.count) == 0
+}
+
 func pick(tree Tree, paths []Path) map[Path]Settings {
 	branches := make(map[Path]Settings, len(paths))
 	for _, p := range paths {
@@ -118,9 +159,30 @@
 	return n
 }
 
+// hashBit returns the bit of the path's hash that divides a group for the
+// bit-th time.
 func hashBit(p Path, bit int) int {
-	h := fnv.New32a()
-	h.Write([]byte(p))
-	mixed := h.Sum32() * 0x9e3779b1 // the high bits of FNV-1a differ little for similar paths
-	return int(mixed >> (31 - bit) & 1)
+	return int(pathHash(p.Top(), p.Below()) >> (31 - bit) & 1)
+}
+
+// The parameters of 32-bit FNV-1a, and a multiplier that spreads its low bits,
+// because the high bits differ little for similar paths.
+const (
+	fnvOffset  = 2166136261
+	fnvPrime   = 16777619
+	multiplier = 0x9e3779b1
+)
+
+// pathHash returns the hash of the path "top/below".
+func pathHash(top, below string) uint32 {
+	h := fnvAdd(fnvOffset, top)
+	h = fnvAdd(h, "/")
+	return fnvAdd(h, below) * multiplier
+}
+
+func fnvAdd(h uint32, s string) uint32 {
+	for i := range len(s) {
+		h = (h ^ uint32(s[i])) * fnvPrime
+	}
+	return h
 }
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -3,6 +3,7 @@
 package effect
 
 import (
+	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
 )
@@ -77,6 +78,10 @@
 // ReadShards asks for event.ShardsRead.
 type ReadShards struct{ Hashes []string }
 
+// DecodeShards asks for event.ShardsRead with the decoded form of these
+// shards. It reaches no store.
+type DecodeShards struct{ Shards []configuration.Shard }
+
 // Record hands a finished request to logs and metrics.
 type Record struct{ Outcome model.Outcome }
 
@@ -164,6 +169,7 @@
 func (ReadRoot) effect()     {}
 func (WatchRoot) effect()    {}
 func (ReadShards) effect()   {}
+func (DecodeShards) effect() {}
 func (Record) effect()       {}
 func (Notice) effect()       {}
 func (SetReady) effect()     {}
