--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -83,6 +83,7 @@
 	Key         string
 	Fingerprint model.Fingerprint
 	// Timeout is how long the sender waits for an earlier use to end.
+	// It bounds the sender's own use of the key, too.
 	Timeout time.Duration
 }
 
@@ -101,6 +102,8 @@
 	ClaimNotOwner
 	// ClaimDropped: ran, the answer is no longer retained.
 	ClaimDropped
+	// ClaimReleased: the earlier use ended unrun; claim again.
+	ClaimReleased
 )
 
 // ClaimAnswer answers Claim. ClaimInProgress is followed by a second answer
@@ -115,6 +118,7 @@
 // ClaimEnd tells the owner how the forwarded request ended. It is repeated
 // until acknowledged.
 type ClaimEnd struct {
+	Ask     uint64 // of the Claim that was granted
 	Slot    model.SlotID
 	Account model.AccountID
 	Key     string
@@ -124,9 +128,7 @@
 
 // ClaimEndAck acknowledges ClaimEnd.
 type ClaimEndAck struct {
-	Slot    model.SlotID
-	Account model.AccountID
-	Key     string
+	Ask uint64
 }
 
 // Evidence sums up what a host saw of a service's servers since its last
@@ -240,6 +242,8 @@
 	Verdict     model.Verdict
 	InProgress  bool
 	Holder      model.HostRef
+	Ask         uint64        // of the holder's Claim
+	Expires     time.Duration // left until an unended use counts as unknown
 	Answer      *model.Answer
 }
 
--- a/decision/stop.go
+++ b/decision/stop.go
@@ -26,7 +26,7 @@
 // checkStopped ends the process when the balancer's delay has passed, no
 // request is in flight and every slot is handed over.
 func (s *State) checkStopped() {
-	if !s.stopping || len(s.requests) > 0 {
+	if !s.stopping || len(s.requests) > 0 || len(s.claims.ends) > 0 {
 		return
 	}
 	s.emit(effect.Exit{})
