--- /dev/null
+++ b/host/backend/transport.go
@@ -0,0 +1,98 @@
+package backend
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"pollensail.dev/decision/model"
+)
+
+// WholeAnswer is the size in bytes up to which an answer is read whole before
+// the attempt ends. Larger answers are streamed.
+const WholeAnswer = 1 << 20
+
+// Clock tells the process's time as the reducer sees it.
+type Clock interface {
+	Now() model.Instant
+	Time(model.Instant) time.Time
+}
+
+// Options are the limits of a Transport. Zero values mean the defaults.
+type Options struct {
+	// DialTimeout bounds the opening of a connection. Default 500 ms.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. Default 30 s.
+	IdleTimeout time.Duration
+	// IdlePerServer is how many unused connections are kept for each server.
+	// Default 8.
+	IdlePerServer int
+}
+
+func (o Options) withDefaults() Options {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = 500 * time.Millisecond
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = 30 * time.Second
+	}
+	if o.IdlePerServer <= 0 {
+		o.IdlePerServer = 8
+	}
+	return o
+}
+
+// Transport owns the connections to backend servers. It is safe for
+// concurrent use. Make it with New.
+type Transport struct {
+	clock   Clock
+	options Options
+
+	mu     sync.Mutex
+	idle   map[model.ServerID][]*conn // in the order of their last use
+	prune  *time.Timer                // runs while there are idle connections
+	closed bool
+}
+
+// New returns a transport without connections.
+func New(clock Clock, options Options) *Transport {
+	return &Transport{
+		clock:   clock,
+		options: options.withDefaults(),
+		idle:    map[model.ServerID][]*conn{},
+	}
+}
+
+// Close closes the idle connections and keeps none from now on. Running
+// attempts are not disturbed.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	if t.prune != nil {
+		t.prune.Stop()
+	}
+	for server, conns := range t.idle {
+		closeAll(conns)
+		delete(t.idle, server)
+	}
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		c.close()
+	}
+}
+
+// dial opens a connection before deadline.
+func (t *Transport) dial(server model.ServerID, deadline time.Time) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout:  t.options.DialTimeout,
+		Deadline: deadline,
+	}
+	c, err := dialer.Dial("tcp", string(server))
+	if err != nil {
+		return nil, err
+	}
+	return newConn(server, c.(*net.TCPConn)), nil
+}
--- /dev/null
+++ b/host/frontend/forward.go
@@ -0,0 +1,61 @@
+package frontend
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"pollensail.dev/host/wire"
+)
+
+// buildForward makes the request that servers get: the end-to-end fields
+// without the key. It shares the body with the caller's request.
+func (x *exchange) buildForward(t target, key []byte) *badRequest {
+	in, out := &x.ctx.Request, x.forward
+	hidden := secret{key}
+	body := in.Body()
+	if hidden.isIn(t.path) || hidden.isIn(body) {
+		return malformed("the client account key may only be in " + wire.Authorization + " or " + wire.APIKey)
+	}
+	out.Header.SetNoDefaultContentType(true)
+	out.Header.SetMethodBytes(in.Header.Method())
+	out.Header.SetRequestURIBytes(forwardTarget(t, hidden))
+	copyFields(&out.Header, &in.Header, hidden)
+	out.SetBodyRaw(body)
+	return nil
+}
+
+// forwardTarget returns the target without the query parameters that show the
+// key.
+func forwardTarget(t target, hidden secret) []byte {
+	query := hidden.stripParts(t.query, '&')
+	if len(query) == 0 {
+		return t.path
+	}
+	out := make([]byte, 0, len(t.path)+1+len(query))
+	out = append(out, t.path...)
+	out = append(out, '?')
+	return append(out, query...)
+}
+
+func copyFields(out, in *fasthttp.RequestHeader, hidden secret) {
+	listed := wire.ConnectionOf(in.All())
+	for name, value := range in.All() {
+		if !listed.IsEndToEnd(name) || isCredential(name) || hidden.isInName(name) {
+			continue
+		}
+		if wire.EqualFold(name, "Cookie") {
+			value = hidden.stripParts(value, ';')
+			if len(value) == 0 {
+				continue
+			}
+		}
+		if !hidden.isIn(value) {
+			out.AddBytesKV(name, value)
+		}
+	}
+}
+
+// isCredential reports whether a field may carry a key, also one that is not
+// this request's.
+func isCredential(name []byte) bool {
+	return wire.EqualFold(name, wire.Authorization) || wire.EqualFold(name, wire.APIKey)
+}
