--- a/host/backend/answer.go
+++ b/host/backend/answer.go
@@ -1,15 +1,10 @@
 package backend
 
 import (
-	"errors"
 	"io"
 	"sync"
-	"syscall"
 
 	"github.com/valyala/fasthttp"
-
-	"pollensail.dev/decision/model"
-	"pollensail.dev/host/wire"
 )
 
 // Answer is a backend server's answer. Response has its header, and its body
@@ -75,7 +70,9 @@
 	if s.conn == nil {
 		return nil
 	}
-	if s.ended && s.conn.reader.Buffered() == 0 && !s.response.ConnectionClose() {
+	keep := s.ended && s.conn.reader.Buffered() == 0 && !s.response.ConnectionClose()
+	_ = s.response.CloseBodyStream() // it refers to the connection's reader
+	if keep {
 		s.transport.put(s.conn)
 	} else {
 		s.conn.close()
@@ -83,79 +80,3 @@
 	s.conn = nil
 	return nil
 }
-
-// isReset reports whether the peer broke the connection off.
-func isReset(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
-// finish turns an answer into the result of the attempt.
-func (e *exchange) finish(answer *Answer) (model.AttemptResult, *Answer) {
-	header := &answer.Response.Header
-	result := model.AttemptResult{
-		Verdict:   model.Ran,
-		Status:    header.StatusCode(),
-		Draining:  string(header.Peek(wire.ServerState)) == wire.StateDraining,
-		Latency:   e.latency(),
-		Streaming: answer.Streaming(),
-	}
-	if load, err := wire.ParseLoad(string(header.Peek(wire.Load))); err == nil {
-		result.InFlight = load.InFlight
-		result.Slots = load.Slots
-	}
-	if !answer.Streaming() {
-		e.giveBack(answer)
-	}
-	if isShed(header) {
-		result.Verdict = model.NotRun
-		result.Shed = true
-		result.Streaming = false
-		answer.Release()
-		return result, nil
-	}
-	result.Answer = e.retain(answer)
-	return result, answer
-}
-
-func isShed(h *fasthttp.ResponseHeader) bool {
-	return h.StatusCode() == fasthttp.StatusServiceUnavailable &&
-		string(h.Peek(wire.Shed)) == wire.ShedNotRun
-}
-
-// giveBack keeps the connection of an answer that was read whole.
-func (e *exchange) giveBack(answer *Answer) {
-	if answer.Response.ConnectionClose() {
-		e.conn.close()
-		return
-	}
-	e.transport.put(e.conn)
-}
-
-// retain copies the answer where the effect asks for it and it fits.
-func (e *exchange) retain(answer *Answer) *model.Answer {
-	limit := e.Forward.RetainAnswer
-	if limit <= 0 || answer.Streaming() || len(answer.Response.Body()) > limit {
-		return nil
-	}
-	retained := &model.Answer{
-		Status: answer.Response.StatusCode(),
-		Header: endToEnd(&answer.Response.Header),
-		Body:   append([]byte(nil), answer.Response.Body()...),
-	}
-	if retained.Size() > limit {
-		return nil
-	}
-	return retained
-}
-
-// endToEnd copies the fields that are passed on.
-func endToEnd(h *fasthttp.ResponseHeader) []model.Field {
-	listed := wire.ConnectionOf(h.All())
-	var fields []model.Field
-	for name, value := range h.All() {
-		if listed.IsEndToEnd(name) {
-			fields = append(fields, model.Field{Name: string(name), Value: string(value)})
-		}
-	}
-	return fields
-}
--- a/host/backend/attempt.go
+++ b/host/backend/attempt.go
@@ -1,8 +1,8 @@
 package backend
 
 import (
+	"cmp"
 	"errors"
-	"net"
 	"os"
 	"time"
 
@@ -22,6 +22,8 @@
 	// Request has the end-to-end fields only. Do writes its length, ID and
 	// Timeout fields.
 	Request *fasthttp.Request
+	// Cancellation ends the attempt early. nil: never.
+	Cancellation *Cancellation
 }
 
 // failure is how an attempt failed. The zero value is none.
@@ -39,6 +41,9 @@
 	deadline  time.Time // zero: none
 	conn      *conn
 	started   model.Instant // before the first byte was written
+	// writeError is set where only a part of the request was written. The
+	// server may have shed it without reading on.
+	writeError error
 }
 
 // Do makes one attempt. The answer is nil unless the result has no reason and
@@ -49,15 +54,28 @@
 	if a.Forward.Deadline != model.Never {
 		e.deadline = t.clock.Time(a.Forward.Deadline)
 	}
-	if f := e.send(); !f.isNone() {
+	answer, f := e.run()
+	a.Cancellation.unbind()
+	if !f.isNone() {
 		return e.failed(f), nil
 	}
+	return e.finish(answer)
+}
+
+// run sends the request and receives its answer.
+func (e *exchange) run() (*Answer, failure) {
+	if f := e.send(); !f.isNone() {
+		return nil, f
+	}
 	answer, f := e.receive()
+	if f.isNone() && e.writeError != nil && !isShed(&answer.Response.Header) {
+		answer.Release()
+		f = failure{model.MayHaveRun, reasonOf(e.writeError)}
+	}
 	if !f.isNone() {
 		e.conn.close()
-		return e.failed(f), nil
 	}
-	return e.finish(answer)
+	return answer, f
 }
 
 // send writes the request to an idle connection or to a new one. A connection
@@ -82,49 +100,43 @@
 
 // write writes the request and returns how many bytes the connection took.
 func (e *exchange) write(c *conn) (int64, failure) {
-	if err := c.tcp.SetDeadline(e.deadline); err != nil {
-		c.close()
-		return 0, e.unsent(err)
-	}
-	message := e.encode(c)
-	if f := e.checkTime(); !f.isNone() {
+	e.encode(c)
+	err := e.Cancellation.bind(c, e.deadline)
+	f := e.checkTime()
+	if err != nil || !f.isNone() {
 		c.close()
-		return 0, f
+		return 0, cmp.Or(f, e.unsent(err))
 	}
 	e.started = e.transport.clock.Now()
-	written, err := message.WriteTo(c.tcp)
-	if err == nil {
-		e.conn = c
-		return written, failure{}
-	}
-	c.close()
+	written, err := c.write(c.header, e.Request.Body())
 	if written == 0 {
+		c.close()
 		return 0, e.unsent(err)
 	}
-	return written, failure{model.MayHaveRun, reasonOf(err)}
+	e.conn = c
+	e.writeError = err
+	return written, failure{}
 }
 
-// encode returns the request in the form in which it is written.
-func (e *exchange) encode(c *conn) net.Buffers {
+// encode puts the header of the request into c.header.
+func (e *exchange) encode(c *conn) {
+	var timeout [24]byte
 	header := &e.Request.Header
 	header.Set(wire.RequestID, e.ID)
-	header.SetBytesV(wire.Timeout, e.appendTimeout(nil))
-	body := e.Request.Body()
-	if len(body) > 0 || !header.IsGet() && !header.IsHead() {
-		header.SetContentLength(len(body))
-	}
-	c.out = append(c.out[:0], header.Header()...)
-	if len(body) == 0 {
-		return net.Buffers{c.out}
+	header.SetBytesV(wire.Timeout, wire.AppendTimeout(timeout[:0], e.remaining()))
+	size := len(e.Request.Body())
+	if size > 0 || !header.IsGet() && !header.IsHead() {
+		header.SetContentLength(size)
 	}
-	return net.Buffers{c.out, body}
+	c.header = header.AppendBytes(c.header[:0])
 }
 
-func (e *exchange) appendTimeout(dst []byte) []byte {
+// remaining is the time until the deadline, at most wire.MaxTimeout.
+func (e *exchange) remaining() time.Duration {
 	if e.deadline.IsZero() {
-		return wire.AppendTimeout(dst, wire.MaxTimeout)
+		return wire.MaxTimeout
 	}
-	return wire.AppendTimeout(dst, time.Until(e.deadline))
+	return min(time.Until(e.deadline), wire.MaxTimeout)
 }
 
 // checkTime fails once nothing may be written any more.
@@ -141,16 +153,16 @@
 
 // unsent is the failure of an attempt that wrote nothing. At the deadline it
 // is no fault of the server.
-func (e *exchange) unsent(error) failure {
+func (e *exchange) unsent(err error) failure {
 	if e.transport.clock.Now() >= e.Forward.Deadline {
 		return failure{model.NotRun, model.ReasonTimedOut}
 	}
-	return failure{model.NotRun, model.ReasonServerFailed}
+	return failure{model.NotRun, reasonOf(err)}
 }
 
-// reasonOf tells a deadline from a broken connection.
+// reasonOf tells a deadline or a cancellation from a broken connection.
 func reasonOf(err error) model.Reason {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errCancelled) {
 		return model.ReasonTimedOut
 	}
 	return model.ReasonServerFailed
--- a/host/backend/conn.go
+++ b/host/backend/conn.go
@@ -3,53 +3,61 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/socket"
 )
 
 // headerLimit bounds the header of an answer, in bytes: it has to fit the
 // read buffer.
 const headerLimit = 16 << 10
 
+// readers are the read buffers of connections in use. An idle connection
+// needs none.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headerLimit) }}
+
 // conn is a connection to a backend server. One goroutine uses it at a time.
 type conn struct {
 	server    model.ServerID
 	tcp       *net.TCPConn
-	raw       syscall.RawConn // nil where the platform has none
-	reader    *bufio.Reader
+	raw       syscall.RawConn
+	reader    *bufio.Reader // nil while idle
 	idleSince time.Time
-	out       []byte // header of the request, reused
+
+	header []byte // of the request, reused
+	parts  [2][]byte
+	out    net.Buffers
 }
 
 func newConn(server model.ServerID, tcp *net.TCPConn) *conn {
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		raw = nil
-	}
-	return &conn{
-		server: server,
-		tcp:    tcp,
-		raw:    raw,
-		reader: bufio.NewReaderSize(tcp, headerLimit),
-	}
+	c := &conn{server: server, tcp: tcp, raw: socket.Of(tcp)}
+	c.attachReader()
+	return c
+}
+
+func (c *conn) attachReader() {
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(c.tcp)
+}
+
+// detachReader gives the buffer back. It must be empty, and no body stream
+// may refer to it.
+func (c *conn) detachReader() {
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
 }
 
 func (c *conn) close() { _ = c.tcp.Close() }
 
-// isQuiet reports whether an idle connection is open and has received nothing
-// since its last exchange. It does not wait.
-func (c *conn) isQuiet() bool {
-	if c.raw == nil || c.reader.Buffered() > 0 {
-		return false
-	}
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+// write writes a message and returns how many of its bytes were accepted.
+func (c *conn) write(header, body []byte) (int64, error) {
+	c.parts = [2][]byte{header, body}
+	c.out = c.parts[:]
+	written, err := c.out.WriteTo(c.tcp)
+	c.parts = [2][]byte{}
+	return written, err
 }
--- a/host/backend/pool.go
+++ b/host/backend/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/socket"
 )
 
 // take returns the idle connection to a server that was used last, nil if
@@ -12,7 +13,11 @@
 func (t *Transport) take(server model.ServerID) *conn {
 	for {
 		c := t.pop(server)
-		if c == nil || c.isQuiet() {
+		if c == nil {
+			return nil
+		}
+		if socket.Look(c.raw) == socket.Quiet {
+			c.attachReader()
 			return c
 		}
 		c.close()
@@ -37,6 +42,7 @@
 // it where enough are kept.
 func (t *Transport) put(c *conn) {
 	c.idleSince = time.Now()
+	c.detachReader()
 	err := c.tcp.SetDeadline(time.Time{})
 	if err != nil || !t.keep(c) {
 		c.close()
@@ -58,7 +64,7 @@
 }
 
 // pruneIdle closes the connections that were idle for IdleTimeout. It runs
-// again while others are left.
+// again while others are left, so that each is closed within twice that time.
 func (t *Transport) pruneIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/host/backend/receive.go
+++ b/host/backend/receive.go
@@ -1,10 +1,10 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"os"
 
 	"github.com/valyala/fasthttp"
 
@@ -47,9 +47,6 @@
 	if reason := reasonOf(err); reason == model.ReasonTimedOut {
 		return reason
 	}
-	if isReset(err) {
-		return model.ReasonServerFailed
-	}
 	return model.ReasonBadAnswer
 }
 
@@ -62,6 +59,7 @@
 		}
 		status := r.StatusCode()
 		if status >= 200 {
+			r.Header.SetNoDefaultContentType(true)
 			return e.checkEcho(&r.Header)
 		}
 		if status == fasthttp.StatusSwitchingProtocols {
@@ -117,14 +115,12 @@
 
 func headerError(err error, received int) error {
 	switch {
-	case err == io.EOF && received == 0:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	case received == 0:
 		return errNothing
-	case err == io.EOF:
-		return io.ErrUnexpectedEOF
-	case err == bufio.ErrBufferFull:
-		return errBadAnswer
 	default:
-		return err
+		return errBadAnswer
 	}
 }
 
--- a/host/frontend/callerconn.go
+++ b/host/frontend/callerconn.go
@@ -2,11 +2,13 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"pollensail.dev/decision/event"
+	"pollensail.dev/host/socket"
 )
 
 // listener wraps the connections of callers.
@@ -21,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, writeTimeout: l.writeTimeout}, nil
+	return &callerConn{Conn: c, raw: socket.Of(c), writeTimeout: l.writeTimeout}, nil
 }
 
 // callerConn is a caller's connection. It learns whether an answer was
@@ -29,6 +31,7 @@
 // goroutine uses its fields.
 type callerConn struct {
 	net.Conn
+	raw          syscall.RawConn
 	writeTimeout time.Duration
 	failed       bool // a write failed; no later answer can be whole
 	delivery     *delivery
--- a/host/frontend/exchange.go
+++ b/host/frontend/exchange.go
@@ -143,11 +143,12 @@
 // attempt makes one attempt and posts its result.
 func (x *exchange) attempt(e effect.Forward) {
 	x.releaseAnswer()
-	result, answer := x.frontend.transport.Do(backend.Attempt{
+	a := backend.Attempt{
 		Forward: e,
 		ID:      x.name,
 		Request: x.forward,
-	})
+	}
+	result, answer := x.watched(a)
 	x.answer = answer
 	if result.Verdict != model.NotRun {
 		x.verdict = result.Verdict
@@ -159,6 +160,19 @@
 	})
 }
 
+// watched makes an attempt that ends when the caller leaves. Where the answer
+// is to be retained the attempt goes on, because the caller's retry needs it.
+func (x *exchange) watched(a backend.Attempt) (model.AttemptResult, *backend.Answer) {
+	caller, ok := x.ctx.Conn().(*callerConn)
+	if !ok || a.Forward.RetainAnswer > 0 {
+		return x.frontend.transport.Do(a)
+	}
+	w := startWatch(caller)
+	defer w.stop()
+	a.Cancellation = &w.Cancellation
+	return x.frontend.transport.Do(a)
+}
+
 func (x *exchange) releaseAnswer() {
 	if x.answer != nil {
 		x.answer.Release()
