--- /dev/null
+++ b/host/peer/counters.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Counters count since the start of the process.
+type Counters struct {
+	BytesSent     uint64 // over TCP, TLS included
+	BytesReceived uint64
+	Sent          uint64 // messages written
+	Received      uint64 // messages handed to the reducer
+	Dropped       uint64 // messages not written: queue full, no link, too old
+	Stale         uint64 // messages received too late
+	Refused       uint64 // incoming links dropped for a broken message or identity
+	Links         int64  // open links, both directions
+}
+
+type counters struct {
+	bytesSent, bytesReceived atomic.Uint64
+	sent, received, dropped  atomic.Uint64
+	stale, refused           atomic.Uint64
+	links                    atomic.Int64
+}
+
+func (c *counters) read() Counters {
+	return Counters{
+		BytesSent:     c.bytesSent.Load(),
+		BytesReceived: c.bytesReceived.Load(),
+		Sent:          c.sent.Load(),
+		Received:      c.received.Load(),
+		Dropped:       c.dropped.Load(),
+		Stale:         c.stale.Load(),
+		Refused:       c.refused.Load(),
+		Links:         c.links.Load(),
+	}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	counters *counters
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counters.bytesReceived.Add(uint64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counters.bytesSent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/host/peer/peers_test.go
@@ -0,0 +1,265 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// inbox is a Loop that keeps what arrives.
+type inbox chan event.Body
+
+func (i inbox) Post(b event.Body) bool { i <- b; return true }
+
+func (i inbox) next(c *qt.C) event.PeerReceived {
+	select {
+	case b := <-i:
+		return b.(event.PeerReceived)
+	case <-time.After(10 * time.Second):
+		c.Fatal("no message arrived")
+		return event.PeerReceived{}
+	}
+}
+
+// logBuffer is safe for concurrent use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) contains(text string) func() bool {
+	return func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return strings.Contains(l.b.String(), text)
+	}
+}
+
+type testHost struct {
+	*Peers
+	inbox   inbox
+	log     *logBuffer
+	address string
+}
+
+func startHost(c *qt.C, id model.HostID, identity Identity) *testHost {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &testHost{inbox: make(inbox, 100), log: &logBuffer{}}
+	h.Peers = New(ctx, Config{
+		Self:        model.HostRef{ID: id, Incarnation: 7},
+		Identity:    identity,
+		MaxMessage:  64 << 10,
+		DialTimeout: time.Second,
+		Loop:        h.inbox,
+		Log:         &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: h.log}},
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	h.address = listener.Addr().String()
+	done := make(chan struct{})
+	go func() { h.Serve(ctx, listener); close(done) }()
+	c.Cleanup(func() { cancel(); <-done })
+	return h
+}
+
+func entry(id model.HostID, address string) model.HostEntry {
+	return model.HostEntry{ID: string(id), Role: model.RoleEntry, Peer: address}
+}
+
+func send(from *testHost, to model.HostID, intent uint64) {
+	from.Send(effect.Send{To: to, Message: message.ClaimIntent{Intent: intent}})
+}
+
+// eventually waits for a condition.
+func eventually(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// authority signs certificates of test hosts.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(c *qt.C) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	c.Assert(err, qt.IsNil)
+	certificate, err := x509.ParseCertificate(der)
+	c.Assert(err, qt.IsNil)
+	return authority{certificate, key}
+}
+
+func (a authority) identity(c *qt.C, id string) Identity {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	template := &x509.Certificate{SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{id}}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	c.Assert(err, qt.IsNil)
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return Identity{certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, authority: pool}
+}
+
+// TestOrderedDelivery guards against lost, reordered or altered messages on a
+// working link, with and without TLS.
+func TestOrderedDelivery(t *testing.T) {
+	c := qt.New(t)
+	ca := newAuthority(c)
+	for _, secure := range []bool{false, true} {
+		c.Run(map[bool]string{false: "insecure", true: "tls"}[secure], func(c *qt.C) {
+			var ia, ib Identity
+			if secure {
+				ia, ib = ca.identity(c, "a"), ca.identity(c, "b")
+			}
+			a, b := startHost(c, "a", ia), startHost(c, "b", ib)
+			a.SetHosts([]model.HostEntry{entry("b", b.address)})
+			for i := range uint64(50) {
+				send(a, "b", i)
+			}
+			for i := range uint64(50) {
+				c.Assert(b.inbox.next(c), qt.DeepEquals, event.PeerReceived{
+					From:    model.HostRef{ID: "a", Incarnation: 7},
+					Message: message.ClaimIntent{Intent: i},
+				})
+			}
+			c.Assert(a.Counters().BytesSent > 0, qt.IsTrue)
+			c.Assert(a.log.contains("insecure = true")(), qt.Equals, !secure)
+		})
+	}
+}
+
+// TestStrangerRefused guards against taking messages from a host that the
+// authority did not sign, or that names another host as the sender, and
+// against sending to a host that is not the one meant.
+func TestStrangerRefused(t *testing.T) {
+	c := qt.New(t)
+	ca, other := newAuthority(c), newAuthority(c)
+	cases := []struct {
+		name     string
+		self     model.HostID
+		identity Identity
+		to       model.HostID
+	}{
+		{"other authority", "a", other.identity(c, "a"), "b"},
+		{"no TLS", "a", Identity{}, "b"},
+		{"another sender", "z", ca.identity(c, "a"), "b"},
+		{"another receiver", "a", ca.identity(c, "a"), "y"},
+	}
+	for _, tc := range cases {
+		c.Run(tc.name, func(c *qt.C) {
+			b := startHost(c, "b", ca.identity(c, "b"))
+			a := startHost(c, tc.self, tc.identity)
+			a.SetHosts([]model.HostEntry{entry(tc.to, b.address)})
+			send(a, tc.to, 1)
+			eventually(c, "link refused", b.log.contains("incoming link dropped"))
+			eventually(c, "sender sees it", a.log.contains("no link to peer"))
+			c.Assert(b.inbox, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestGarbageDropsLink guards against a broken or oversized message that ends
+// the process or blocks other links.
+func TestGarbageDropsLink(t *testing.T) {
+	c := qt.New(t)
+	b := startHost(c, "b", Identity{})
+	for _, garbage := range []string{
+		"GET / HTTP/1.1\r\n\r\n",
+		"\xff\xff\xff\xff",
+		"\x00\x00\x00\x04abcd",
+		"\x00\x00\x00\x00",
+	} {
+		refused := b.Counters().Refused
+		conn, err := net.Dial("tcp", b.address)
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Write([]byte(garbage))
+		c.Assert(err, qt.IsNil)
+		eventually(c, "garbage refused", func() bool { return b.Counters().Refused == refused+1 })
+		conn.Close()
+	}
+	a := startHost(c, "a", Identity{})
+	a.SetHosts([]model.HostEntry{entry("b", b.address)})
+	send(a, "b", 3)
+	c.Assert(b.inbox.next(c).Message, qt.Equals, message.ClaimIntent{Intent: 3})
+}
+
+// TestReconnects guards against a link that stays down after its peer came
+// back, and against Send blocking meanwhile.
+func TestReconnects(t *testing.T) {
+	c := qt.New(t)
+	a := startHost(c, "a", Identity{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	listener.Close()
+	a.SetHosts([]model.HostEntry{entry("b", address)})
+	start := time.Now()
+	for range 3 * queueLength {
+		send(a, "b", 1)
+	}
+	c.Assert(time.Since(start) < time.Second, qt.IsTrue)
+	eventually(c, "drops", func() bool { return a.Counters().Dropped > 0 })
+
+	b := startHost(c, "b", Identity{})
+	a.SetHosts([]model.HostEntry{entry("b", b.address)})
+	eventually(c, "delivery", func() bool { send(a, "b", 2); return len(b.inbox) > 0 })
+}
+
+// TestStaleMessageDropped guards against an old heartbeat that makes old
+// knowledge look new after a pause of the receiver.
+func TestStaleMessageDropped(t *testing.T) {
+	c := qt.New(t)
+	b := startHost(c, "b", Identity{})
+	in := &incoming{peers: b.Peers, check: func(model.HostID) error { return nil }}
+	service := &Service{in}
+	put := func(sent time.Duration) error {
+		e, err := wrap(model.HostRef{ID: "a"}, message.Heartbeat{Sequence: 1})
+		c.Assert(err, qt.IsNil)
+		e.Epoch, e.Sent = 1, sent.Milliseconds()
+		return service.Put(e, &Ack{})
+	}
+	c.Assert(put(0), qt.ErrorMatches, ".*unknown epoch 1")
+	c.Assert(service.Hello(&Hello{Epoch: 1}, &Ack{}), qt.IsNil)
+	// As if the receiver had slept for 30 s after its answer.
+	in.since[1] = time.Now().Add(-30 * time.Second)
+	c.Assert(put(28*time.Second), qt.IsNil)
+	c.Assert(b.inbox, qt.HasLen, 0)
+	c.Assert(b.Counters().Stale, qt.Equals, uint64(1))
+	c.Assert(put(29900*time.Millisecond), qt.IsNil)
+	c.Assert(b.inbox, qt.HasLen, 1)
+}
--- a/host/settings/settings.go
+++ b/host/settings/settings.go
@@ -35,7 +35,7 @@
 // TLS names the files for mutual TLS between hosts. Either Insecure is true or
 // all three files are given.
 type TLS struct {
-	Certificate string `toml:"certificate"` // PEM file; its DNS name or common name is the host id
+	Certificate string `toml:"certificate"` // PEM file; one of its DNS names is the host id
 	Key         string `toml:"key"`         // PEM file
 	Authority   string `toml:"authority"`   // PEM file of the authorities that sign hosts' certificates
 	Insecure    bool   `toml:"insecure"`    // plain TCP between hosts, any sender is believed
