--- /dev/null
+++ b/decision/placement/placement_test.go
@@ -0,0 +1,285 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/model"
+)
+
+func serverIDs(n int) []model.ServerID {
+	ids := make([]model.ServerID, n)
+	for i := range ids {
+		ids[i] = model.ServerID(fmt.Sprintf("127.0.0.1:%d", 9000+i))
+	}
+	return ids
+}
+
+func warmPool(limits Limits, n int) *Pool {
+	members := make([]Member, n)
+	for i, id := range serverIDs(n) {
+		members[i] = Member{ID: id, ColdSince: model.Never}
+	}
+	p := NewPool()
+	p.Configure(limits, members)
+	return p
+}
+
+// TestSubsetKeepsToConnections guards against hosts that together open more
+// connections than the servers take.
+func TestSubsetKeepsToConnections(t *testing.T) {
+	tests := []struct{ hosts, servers, connections, subset, share int }{
+		{40, 10, 300, 10, 7},
+		{650, 55, 300, 25, 1},
+		{650, 55, 350, 29, 1},
+		{4, 2, 0, 2, 0},
+		{650, 1, 300, 1, 1},
+		{40, 0, 300, 0, 0},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		subset := SubsetSize(test.hosts, test.servers, test.connections)
+		c.Check(subset, qt.Equals, test.subset)
+		share := ConnectionShare(test.hosts, test.servers, subset, test.connections)
+		c.Check(share, qt.Equals, test.share)
+	}
+}
+
+// TestRankMovesLittle guards against a server's departure that reshuffles the
+// subsets, and against servers that few hosts choose.
+func TestRankMovesLittle(t *testing.T) {
+	c := qt.New(t)
+	all := serverIDs(55)
+	uses := make(map[model.ServerID]int)
+	for h := range 650 {
+		host := model.HostID(fmt.Sprintf("host-%d", h))
+		before := Rank(host, all)
+		after := Rank(host, all[1:])
+		i := 0
+		for _, id := range before {
+			if id != all[0] {
+				c.Assert(after[i], qt.Equals, id)
+				i++
+			}
+		}
+		for _, id := range before[:25] {
+			uses[id]++
+		}
+	}
+	for id, n := range uses {
+		c.Check(n > 230 && n < 365, qt.IsTrue, qt.Commentf("%s is in %d subsets, 295 expected", id, n))
+	}
+}
+
+// TestRoster guards against a list that lags and brings a leaving server back,
+// and against a server that returns at full load.
+func TestRoster(t *testing.T) {
+	const id = model.ServerID("127.0.0.1:9000")
+	entry := func(leaving bool, since model.WallTime) []model.HostEntry {
+		return []model.HostEntry{{ID: string(id), Role: model.RoleBackend, Leaving: leaving, Since: since}}
+	}
+	at := func(d time.Duration) model.Instant { return model.Instant(0).Add(d) }
+	tests := []struct {
+		name    string
+		script  func(*Roster)
+		leaving bool
+		cold    bool
+	}{
+		{"warm at the start", func(r *Roster) { r.Listed(0, entry(false, 5)) }, false, false},
+		{"cold when it comes later", func(r *Roster) {
+			r.Listed(0, nil)
+			r.Listed(at(100*time.Second), entry(false, 5))
+		}, false, true},
+		{"lagging list", func(r *Roster) {
+			r.Listed(0, entry(false, 5))
+			r.MarkLeaving(at(time.Second), id)
+			r.Listed(at(2*time.Second), entry(false, 5))
+			r.Listed(at(3*time.Second), nil)
+			r.Listed(at(99*time.Second), entry(false, 5))
+		}, false, true},
+		{"lagging list within the memory", func(r *Roster) {
+			r.Listed(0, entry(true, 5))
+			r.Listed(at(80*time.Second), nil)
+			r.Listed(at(99*time.Second), entry(false, 5))
+		}, true, false},
+		{"new life under the same address", func(r *Roster) {
+			r.Listed(0, entry(true, 5))
+			r.Listed(at(99*time.Second), entry(false, 7))
+		}, false, true},
+		{"configured server that was not listed returns", func(r *Roster) {
+			r.Configured(0, []model.ServerID{id})
+			r.MarkLeaving(at(30*time.Second), id)
+			r.Expire(at(95 * time.Second))
+		}, false, true},
+		{"a peer's word does not prolong", func(r *Roster) {
+			r.Configured(0, []model.ServerID{id})
+			r.MarkLeaving(at(30*time.Second), id)
+			r.HearLeaving(at(89*time.Second), id)
+			r.Expire(at(95 * time.Second))
+		}, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := NewRoster()
+			test.script(r)
+			c.Check(r.IsLeaving(id), qt.Equals, test.leaving)
+			c.Check(r.IsCold(at(100*time.Second), id, 10*time.Second), qt.Equals, test.cold)
+		})
+	}
+}
+
+// TestQueueSharesPlaces guards against an account that floods the queue and
+// takes the turns of the others.
+func TestQueueSharesPlaces(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue()
+	for i := range 60 {
+		q.push(Waiting{Request: model.RequestID(i), Account: "large", Weight: 1}, false)
+	}
+	for i := range 10 {
+		q.push(Waiting{Request: model.RequestID(100 + i), Account: "small", Weight: 1}, false)
+		q.push(Waiting{Request: model.RequestID(200 + i), Account: "double", Weight: 2}, false)
+	}
+	c.Assert(q.ahead("small", 1), qt.Equals, 10+11+10)
+	turns := make(map[model.AccountID]int)
+	for range 20 {
+		w, ok := q.pop()
+		c.Assert(ok, qt.IsTrue)
+		turns[w.Account]++
+	}
+	c.Assert(turns, qt.DeepEquals, map[model.AccountID]int{"large": 5, "small": 5, "double": 10})
+}
+
+// TestQueueEvicts guards against a small account that finds the queue full of
+// another's requests.
+func TestQueueEvicts(t *testing.T) {
+	c := qt.New(t)
+	p := warmPool(Limits{Slots: 1, Concurrency: 1, Queue: 4}, 1)
+	_, ok := p.Take(0, rand.New(rand.NewPCG(1, 1)), nil)
+	c.Assert(ok, qt.IsTrue)
+	wait := func(id model.RequestID, account model.AccountID) Queued {
+		w := Waiting{Request: id, Account: account, Weight: 1, Deadline: model.Never, NotAfter: model.Never}
+		return p.Enqueue(0, w, false)
+	}
+	for id := range model.RequestID(4) {
+		c.Assert(wait(id+1, "large"), qt.Equals, Queued{})
+	}
+	c.Assert(wait(5, "large").Reason, qt.Equals, model.ReasonOverloaded)
+	c.Assert(wait(6, "small"), qt.Equals, Queued{Evicted: 4})
+	c.Assert(wait(7, "small"), qt.Equals, Queued{Evicted: 3})
+	c.Assert(wait(8, "small").Reason, qt.Equals, model.ReasonOverloaded)
+	c.Assert(p.QueueLength(), qt.Equals, 4)
+}
+
+// TestEnqueueRefusesEarly guards against requests that wait in vain.
+func TestEnqueueRefusesEarly(t *testing.T) {
+	c := qt.New(t)
+	p := warmPool(Limits{Slots: 1, Concurrency: 1, Queue: 100}, 1)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 50 {
+		id, _ := p.Take(0, rnd, nil)
+		p.Release(id, 100*time.Millisecond)
+	}
+	p.Take(0, rnd, nil)
+	enqueue := func(id model.RequestID, timeout time.Duration) model.Reason {
+		deadline := model.Instant(0).Add(timeout)
+		w := Waiting{Request: id, Account: "a", Deadline: deadline, NotAfter: deadline}
+		return p.Enqueue(0, w, false).Reason
+	}
+	c.Assert(enqueue(1, 50*time.Millisecond), qt.Equals, model.ReasonDeadlineTooShort)
+	c.Assert(enqueue(2, 250*time.Millisecond), qt.Equals, model.Reason(""))
+	c.Assert(enqueue(3, 250*time.Millisecond), qt.Equals, model.ReasonOverloaded)
+}
+
+// TestColdRamp guards against a cold server that gets its full share at once,
+// and against one that gets nothing.
+func TestColdRamp(t *testing.T) {
+	const draws = 20000
+	for _, percent := range []int{0, 25, 50, 100} {
+		c := qt.New(t)
+		members := make([]Member, 10)
+		for i, id := range serverIDs(10) {
+			members[i] = Member{ID: id, ColdSince: model.Never}
+		}
+		members[0].ColdSince = 0
+		p := NewPool()
+		p.Configure(Limits{Slots: 6, ColdRamp: 10 * time.Second}, members)
+		rnd := rand.New(rand.NewPCG(7, 7))
+		now := model.Instant(0).Add(time.Duration(percent) * 100 * time.Millisecond)
+		hits := 0
+		for range draws {
+			id, _ := p.Take(now, rnd, nil)
+			if id == members[0].ID {
+				hits++
+			}
+			p.Release(id, time.Millisecond)
+		}
+		want := float64(percent) / 100 * draws / 10
+		c.Check(float64(hits) >= want*0.8 && float64(hits) <= want*1.2+draws/1000, qt.IsTrue,
+			qt.Commentf("%d hits at %d %%, about %.0f expected", hits, percent, want))
+	}
+}
+
+// TestPickPrefers guards against a retry at the same server, work for an
+// avoided server while others are idle, and a second request in a trial.
+func TestPickPrefers(t *testing.T) {
+	ids := serverIDs(3)
+	tests := []struct {
+		name  string
+		setUp func(*Pool)
+		tried []model.ServerID
+		want  []model.ServerID // each is used, and no other
+	}{
+		{"not tried", func(*Pool) {}, ids[:2], ids[2:]},
+		{"tried when it is the only one", func(*Pool) {}, ids, ids},
+		{"not avoided", func(p *Pool) { p.Avoid(ids[0], model.Never) }, nil, ids[1:]},
+		{"avoided when the others are busy", func(p *Pool) {
+			p.Avoid(ids[0], model.Never)
+			p.Shed(0, ids[1])
+			p.Shed(0, ids[2])
+		}, nil, ids},
+		{"one in trial at a time", func(p *Pool) {
+			trial := Member{ID: ids[0], ColdSince: model.Never, Trial: true}
+			p.Configure(Limits{Slots: 6}, []Member{trial, {ID: ids[1], ColdSince: model.Never}})
+			p.byID[ids[0]].inFlight = 1
+		}, nil, ids[1:2]},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := warmPool(Limits{Slots: 6}, 3)
+			test.setUp(p)
+			rnd := rand.New(rand.NewPCG(3, 3))
+			got := make(map[model.ServerID]bool)
+			for range 60 {
+				id, ok := p.Take(0, rnd, test.tried)
+				c.Assert(ok, qt.IsTrue)
+				got[id] = true
+				p.Release(id, time.Millisecond)
+			}
+			c.Check(slices.Sorted(maps.Keys(got)), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestRetryBudget guards against retries that multiply the load.
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	b := newBudget()
+	taken := 0
+	for range 1000 {
+		b.request()
+		if b.take(0) {
+			taken++
+		}
+	}
+	c.Assert(taken >= 99 && taken <= 104, qt.IsTrue, qt.Commentf("%d retries", taken))
+	c.Assert(b.take(model.Instant(10*time.Second)), qt.IsTrue)
+}
--- a/decision/request.go
+++ b/decision/request.go
@@ -40,7 +40,7 @@
 	reason   model.Reason
 	notAfter model.Instant // set by admission and claims; Never without limits
 
-	placed bool // holds a place at server and in the bulkhead
+	placing
 	admission
 	claim
 }
--- /dev/null
+++ b/decision/servers_place.go
@@ -0,0 +1,145 @@
+package decision
+
+import (
+	"pollensail.dev/decision/model"
+	"pollensail.dev/decision/placement"
+)
+
+// maxAttempts bounds the attempts for one request, the first included.
+const maxAttempts = 3
+
+// placing is a request's place at a server, or in the queue for one.
+type placing struct {
+	placed   bool // holds a place at server and in the bulkhead
+	queued   bool // waits in the queue of its service
+	onTurn   bool // was taken from the queue just now
+	placedAt model.Instant
+}
+
+// place chooses a server for the request or queues it.
+func (s *State) place(r *request) step {
+	pool := s.pool(r.route.Service)
+	if pool == nil || pool.IsEmpty() {
+		s.refuse(r, model.ReasonNoServer, 0)
+		return stepDone
+	}
+	wasQueued := r.onTurn
+	r.onTurn = false
+	if !wasQueued && pool.QueueLength() > 0 {
+		return s.enqueue(r, pool, r.attempts > 0)
+	}
+	server, ok := pool.Take(s.now, s.rand, r.tried)
+	if !ok {
+		return s.enqueue(r, pool, wasQueued || r.attempts > 0)
+	}
+	if r.attempts == 0 {
+		pool.CountRequest()
+	}
+	r.server = server
+	r.placed = true
+	r.placedAt = s.now
+	return stepNext
+}
+
+// enqueue makes the request wait for a place. front is for a request that was
+// started or in turn before.
+func (s *State) enqueue(r *request, pool *placement.Pool, front bool) step {
+	answer := pool.Enqueue(s.now, s.waiting(r), front)
+	if answer.Reason != "" {
+		s.refuse(r, answer.Reason, 0)
+		return stepDone
+	}
+	r.queued = true
+	if victim, ok := s.requests[answer.Evicted]; ok && victim.queued {
+		victim.queued = false
+		s.refuse(victim, model.ReasonOverloaded, 0)
+	}
+	return stepWait
+}
+
+func (s *State) waiting(r *request) placement.Waiting {
+	w := placement.Waiting{
+		Request:  r.Request,
+		Account:  r.account,
+		Weight:   1,
+		Deadline: r.deadline,
+		NotAfter: r.notAfter,
+	}
+	if account, ok := s.snapshot.Accounts[r.account]; ok {
+		w.Weight = max(account.Weight, 1)
+	}
+	return w
+}
+
+// unplace gives back the request's place at its server, if it has one, or in
+// the queue.
+func (s *State) unplace(r *request) {
+	wasPlaced, wasQueued := r.placed, r.queued
+	r.placed, r.queued = false, false
+	if !wasPlaced && !wasQueued {
+		return
+	}
+	pool, ok := s.servers.pools[r.route.Service]
+	if !ok {
+		return
+	}
+	if wasQueued {
+		pool.Cancel(r.Request, r.account)
+		return
+	}
+	pool.Release(r.server, s.now.Sub(r.placedAt))
+	s.serveQueue(r.route.Service)
+}
+
+// serveQueue advances the requests in turn while there is room.
+func (s *State) serveQueue(id model.ServiceID) {
+	pool, ok := s.servers.pools[id]
+	if !ok || s.servers.serving[id] {
+		return
+	}
+	s.servers.serving[id] = true
+	defer delete(s.servers.serving, id)
+	for {
+		w, reason, ok := pool.Next(s.now)
+		if !ok || !s.resume(w.Request, reason) {
+			return
+		}
+	}
+}
+
+// resume advances a request that was taken from the queue. It reports false
+// when the request went back, because every server was full.
+func (s *State) resume(id model.RequestID, reason model.Reason) bool {
+	r, ok := s.requests[id]
+	if !ok || !r.queued || r.stage != stagePlace {
+		return true
+	}
+	r.queued = false
+	if reason != "" {
+		s.refuse(r, reason, 0)
+		return true
+	}
+	r.onTurn = true
+	s.advance(r)
+	return !r.queued
+}
+
+// takeRetry takes one retry from the budget. It reports false when the budget
+// is spent, no other server is left, or the failure is not one of the server.
+func (s *State) takeRetry(r *request, result model.AttemptResult) bool {
+	if r.attempts >= maxAttempts || !isRetried(result) {
+		return false
+	}
+	pool := s.pool(r.route.Service)
+	if pool == nil || !pool.HasOther(r.tried) {
+		return false
+	}
+	return pool.TakeRetry(s.now)
+}
+
+func isRetried(result model.AttemptResult) bool {
+	if result.Shed {
+		return true
+	}
+	return result.Reason == model.ReasonServerFailed || result.Reason == model.ReasonBadAnswer
+}
