--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -140,6 +140,7 @@
 	// PoolOK and PoolFailed count attempts at all servers of the service.
 	PoolOK     int
 	PoolFailed int
+	Period     time.Duration // that the counts cover
 }
 
 // ServerEvidence counts attempts at one server.
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/health"
 	"pollensail.dev/decision/model"
 	"pollensail.dev/decision/placement"
 )
@@ -13,35 +14,74 @@
 type serverState struct {
 	roster *placement.Roster
 	pools  map[model.ServiceID]*placement.Pool
-	// built is the snapshot from which the pools were built.
+	// built is the snapshot from which the pools were built, slots its slots.
 	built *configuration.Snapshot
+	slots []model.SlotID
+	// slotsChanged is true once the slots differ from those at the start.
+	slotsChanged bool
 	// listed are the servers that the host list adds to services.
 	listed map[model.ServiceID][]model.ServerID
-	// entries are the listed entry hosts that are not leaving.
-	entries []model.HostID
+	// members are all servers of each service, leaving ones included, in this
+	// host's rendezvous order.
+	members map[model.ServiceID][]model.ServerID
+	// peers are the other listed entry hosts; users counts the entry hosts
+	// that are not leaving.
+	peers []model.HostID
+	users int
 	// serving are the pools whose queue is being served, so that a request
 	// that ends while it is advanced does not start over.
 	serving map[model.ServiceID]bool
+
+	monitors     map[model.ServiceID]*health.Monitor
+	evidenceAt   model.Instant // time of the evidence timer
+	coordinators map[model.ServiceID]*health.Coordinator
+	sets         *health.Sets
+	// inForce are the published sets as far as the floor allows here.
+	inForce map[model.ServiceID]ejections
+	// ownership replaces the slot owners of this host's own knowledge in
+	// tests; nil otherwise.
+	ownership slotOwnership
+}
+
+// ejections are the servers of a service that get no ordinary work.
+type ejections struct {
+	ejected []model.ServerID
+	trial   []model.ServerID
 }
 
 func newServerState() serverState {
 	return serverState{
-		roster:  placement.NewRoster(),
-		pools:   make(map[model.ServiceID]*placement.Pool),
-		listed:  make(map[model.ServiceID][]model.ServerID),
-		serving: make(map[model.ServiceID]bool),
+		roster:       placement.NewRoster(),
+		pools:        make(map[model.ServiceID]*placement.Pool),
+		listed:       make(map[model.ServiceID][]model.ServerID),
+		members:      make(map[model.ServiceID][]model.ServerID),
+		serving:      make(map[model.ServiceID]bool),
+		monitors:     make(map[model.ServiceID]*health.Monitor),
+		evidenceAt:   model.Never,
+		coordinators: make(map[model.ServiceID]*health.Coordinator),
+		sets:         health.NewSets(),
+		inForce:      make(map[model.ServiceID]ejections),
 	}
 }
 
 // The deadlines of this concern, as ids of timerServers.
 const (
-	serversTimerRoster uint64 = iota // a leaving server is forgotten
+	serversTimerRoster      uint64 = iota // a leaving server is forgotten
+	serversTimerEvidence                  // reports to coordinators are due
+	serversTimerCoordinator               // a coordinator has something to do
+	serversTimerSets                      // an ejection set expires
 )
 
 func (s *State) onServersTimer(id uint64) {
 	switch id {
 	case serversTimerRoster:
 		s.expireLeaving()
+	case serversTimerEvidence:
+		s.sendEvidence()
+	case serversTimerCoordinator:
+		s.runCoordinators()
+	case serversTimerSets:
+		s.rebuildPools()
 	}
 }
 
@@ -51,15 +91,14 @@
 // that it says are leaving, and the number of hosts that share the servers.
 func (s *State) serversHostsListed(entries []model.HostEntry) {
 	clear(s.servers.listed)
-	s.servers.entries = s.servers.entries[:0]
+	s.servers.peers = s.servers.peers[:0]
+	s.servers.users = 0
 	for _, e := range entries {
 		switch e.Role {
 		case model.RoleBackend:
 			s.servers.listed[e.Service] = append(s.servers.listed[e.Service], model.ServerID(e.ID))
 		case model.RoleEntry:
-			if !e.Leaving {
-				s.servers.entries = append(s.servers.entries, model.HostID(e.ID))
-			}
+			s.listEntryHost(e)
 		}
 	}
 	for _, id := range s.servers.roster.Listed(s.now, entries) {
@@ -68,12 +107,24 @@
 	s.rebuildPools()
 }
 
+func (s *State) listEntryHost(e model.HostEntry) {
+	if id := model.HostID(e.ID); id != s.self.ID {
+		s.servers.peers = append(s.servers.peers, id)
+	}
+	if !e.Leaving {
+		s.servers.users++
+	}
+}
+
 // serversConfigured takes the services of a new configuration in force.
 func (s *State) serversConfigured() {
 	if s.snapshot == nil {
 		return
 	}
+	s.servers.slotsChanged = s.servers.slotsChanged ||
+		s.servers.built != nil && !slices.Equal(s.servers.slots, s.snapshot.Slots())
 	s.servers.built = s.snapshot
+	s.servers.slots = s.snapshot.Slots()
 	var servers []model.ServerID
 	for _, service := range s.snapshot.Services {
 		servers = append(servers, service.Servers...)
@@ -84,9 +135,15 @@
 
 // pool returns the host's use of a service, nil for an unknown one.
 func (s *State) pool(id model.ServiceID) *placement.Pool {
+	if s.snapshot == nil {
+		return nil
+	}
 	if s.servers.built != s.snapshot {
 		s.serversConfigured()
 	}
+	if _, ok := s.snapshot.Services[id]; !ok {
+		return nil
+	}
 	return s.servers.pools[id]
 }
 
@@ -105,6 +162,7 @@
 		}
 	}
 	s.setRosterTimer()
+	s.setSetsTimer()
 }
 
 // rebuildPool computes the host's subset of a service: the first servers in
@@ -115,8 +173,11 @@
 		pool = placement.NewPool()
 		s.servers.pools[service.ID] = pool
 	}
+	listed := s.servers.listed[service.ID]
+	s.servers.members[service.ID] = placement.Rank(s.self.ID, slices.Concat(service.Servers, listed))
+	s.limitEjections(service)
 	usable := s.usable(service)
-	hosts := max(len(s.servers.entries), 1)
+	hosts := max(s.servers.users, 1)
 	size := placement.SubsetSize(hosts, len(usable), service.Connections)
 	limits := placement.Limits{
 		Slots:       service.Slots,
@@ -134,29 +195,50 @@
 	pool := s.servers.pools[id]
 	pool.Configure(placement.Limits{}, nil)
 	s.serveQueue(id)
+	delete(s.servers.members, id)
+	delete(s.servers.inForce, id)
+	delete(s.servers.monitors, id)
+	delete(s.servers.coordinators, id)
 	if pool.InFlight() == 0 {
 		delete(s.servers.pools, id)
 	}
 }
 
-// members returns all servers of a service, leaving ones included, without
-// repetitions, in this host's order.
-func (s *State) members(service *configuration.Service) []model.ServerID {
-	listed := s.servers.listed[service.ID]
-	return placement.Rank(s.self.ID, slices.Concat(service.Servers, listed))
-}
-
 // usable returns the servers that may get ordinary work, in this host's order.
 func (s *State) usable(service *configuration.Service) []placement.Member {
+	out := s.servers.inForce[service.ID]
 	var usable []placement.Member
-	for _, id := range s.members(service) {
-		if s.servers.roster.IsLeaving(id) {
+	for _, id := range s.servers.members[service.ID] {
+		if s.servers.roster.IsLeaving(id) || slices.Contains(out.ejected, id) {
 			continue
 		}
 		usable = append(usable, placement.Member{
 			ID:        id,
 			ColdSince: s.servers.roster.ColdSince(id),
+			Trial:     slices.Contains(out.trial, id),
 		})
 	}
 	return usable
 }
+
+// slotOwnership says who owns slots.
+type slotOwnership interface {
+	slotOwner(model.SlotID) (model.HostRef, bool)
+	ownsSlot(model.SlotID) (term uint64, ok bool)
+}
+
+// slotOwner returns the owner of a slot as this host knows it.
+func (s *State) slotOwner(slot model.SlotID) (model.HostRef, bool) {
+	if s.servers.ownership != nil {
+		return s.servers.ownership.slotOwner(slot)
+	}
+	return s.self, len(s.servers.peers) == 0
+}
+
+// ownsSlot reports whether this host owns the slot now, and for which term.
+func (s *State) ownsSlot(slot model.SlotID) (term uint64, ok bool) {
+	if s.servers.ownership != nil {
+		return s.servers.ownership.ownsSlot(slot)
+	}
+	return firstTerm, len(s.servers.peers) == 0
+}
--- /dev/null
+++ b/decision/servers_eject.go
@@ -0,0 +1,143 @@
+package decision
+
+import (
+	"maps"
+	"slices"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/health"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// firstTerm is the term of a slot that nobody owned before.
+const firstTerm = 1
+
+// onEvidence takes a host's report where this host is the coordinator.
+func (s *State) onEvidence(from model.HostRef, m message.Evidence) {
+	if s.pool(m.Service) == nil {
+		return
+	}
+	slot, ok := s.healthSlot(m.Service)
+	if !ok || slot != m.Slot {
+		return
+	}
+	term, ok := s.ownsSlot(slot)
+	if !ok {
+		return
+	}
+	s.coordinator(m.Service, term).Take(s.now, from, m)
+	s.setCoordinatorTimer()
+}
+
+// coordinator returns the coordinator of a service in a term of this host. A
+// coordinator of an earlier term is dropped.
+func (s *State) coordinator(id model.ServiceID, term uint64) *health.Coordinator {
+	c, ok := s.servers.coordinators[id]
+	if ok && c.Term() == term {
+		return c
+	}
+	isFirst := term == firstTerm && !s.servers.slotsChanged
+	c = health.NewCoordinator(s.now, term, isFirst, s.servers.sets.InForce(s.now, id))
+	s.servers.coordinators[id] = c
+	return c
+}
+
+// setCoordinatorTimer sets the timer for the coordinator that is due first. One
+// whose slot this host does not own at present waits for the next report.
+func (s *State) setCoordinatorTimer() {
+	next := model.Never
+	for id, c := range s.servers.coordinators {
+		if s.coordinates(id, c) {
+			next = min(next, c.Next())
+		}
+	}
+	key := timerKey{timerServers, serversTimerCoordinator}
+	if next == model.Never {
+		s.timers.Cancel(key)
+		return
+	}
+	s.timers.Set(key, next)
+}
+
+// coordinates reports whether this host owns the service's slot in the term of
+// the coordinator.
+func (s *State) coordinates(id model.ServiceID, c *health.Coordinator) bool {
+	slot, ok := s.healthSlot(id)
+	if !ok {
+		return false
+	}
+	term, ok := s.ownsSlot(slot)
+	return ok && term == c.Term()
+}
+
+func (s *State) runCoordinators() {
+	for _, id := range slices.Sorted(maps.Keys(s.servers.coordinators)) {
+		c := s.servers.coordinators[id]
+		if c.Next() <= s.now && s.coordinates(id, c) {
+			s.runCoordinator(id, c)
+		}
+	}
+	s.setCoordinatorTimer()
+}
+
+// runCoordinator decides about a service's servers and publishes the set.
+func (s *State) runCoordinator(id model.ServiceID, c *health.Coordinator) {
+	if s.pool(id) == nil {
+		return
+	}
+	s.noticeDecision(id, c.Decide(s.now, s.healthPool(id)))
+	set, ok := c.Publish(s.now)
+	if !ok {
+		return
+	}
+	set.Service = id
+	set.Slot, _ = s.healthSlot(id)
+	for _, peer := range s.servers.peers {
+		s.send(peer, set)
+	}
+	s.onEjectionSet(s.self, set)
+}
+
+func (s *State) noticeDecision(id model.ServiceID, d health.Decision) {
+	for _, server := range d.Ejected {
+		s.notice(effect.NoticeEjected, string(id)+" "+string(server))
+	}
+	for _, server := range d.Readmitted {
+		s.notice(effect.NoticeReadmitted, string(id)+" "+string(server))
+	}
+	if d.AtFloor {
+		s.notice(effect.NoticeAtFloor, string(id))
+	}
+}
+
+// onEjectionSet puts a set in force unless a newer one is.
+func (s *State) onEjectionSet(_ model.HostRef, m message.EjectionSet) {
+	if s.pool(m.Service) == nil {
+		return
+	}
+	slot, ok := s.healthSlot(m.Service)
+	if !ok || slot != m.Slot || !s.servers.sets.Take(s.now, m) {
+		return
+	}
+	s.rebuildPool(s.snapshot.Services[m.Service])
+	s.setSetsTimer()
+}
+
+// limitEjections applies the set in force as far as the floor allows here.
+func (s *State) limitEjections(service *configuration.Service) {
+	set := s.servers.sets.InForce(s.now, service.ID)
+	ejected, trial := s.healthPool(service.ID).Limit(set)
+	s.servers.inForce[service.ID] = ejections{ejected, trial}
+}
+
+func (s *State) setSetsTimer() {
+	key := timerKey{timerServers, serversTimerSets}
+	next := s.servers.sets.NextExpiry(s.now)
+	if next == model.Never {
+		s.timers.Cancel(key)
+		return
+	}
+	s.timers.Set(key, next)
+}
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -14,6 +14,8 @@
 	queued   bool // waits in the queue of its service
 	onTurn   bool // was taken from the queue just now
 	placedAt model.Instant
+	// streamed is the result of an attempt whose answer still flows.
+	streamed *model.AttemptResult
 }
 
 // place chooses a server for the request or queues it.
--- /dev/null
+++ b/decision/servers_sim_test.go
@@ -0,0 +1,338 @@
+package decision
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+const (
+	simService = model.ServiceID("lookup")
+	simDomains = 4
+)
+
+// simOptions describe a fleet. Zero values take today's ordinary load.
+type simOptions struct {
+	hosts, servers int
+	rate           float64 // requests a second over the fleet
+	floor          float64
+	loss           float64 // of messages between hosts
+	seed           uint64
+}
+
+// sim runs hosts' reducers, servers and links in virtual time.
+type sim struct {
+	simOptions
+	c       *qt.C
+	now     model.Instant
+	rand    *rand.Rand
+	queue   simQueue
+	order   int
+	hosts   []*simHost
+	servers []*simServer
+	list    []model.HostEntry
+	owner   int // index of the coordinator's host
+	term    uint64
+	nextID  model.RequestID
+	halted  bool // no new requests
+
+	outcomes     []model.Outcome
+	ejected      []model.ServerID // notices of the coordinator
+	firstFailure model.Instant
+	evidence     int // messages
+	sets         int
+}
+
+type simHost struct {
+	sim    *sim
+	state  *State
+	index  int
+	domain int
+	timer  int // number of the newest timer
+	server map[model.RequestID]model.ServerID
+}
+
+// simServer works on requests in slots, the rest wait at it.
+type simServer struct {
+	id      model.ServerID
+	index   int
+	busy    int
+	waiting []*simAttempt
+	service time.Duration // mean time of one request
+	fails   func(now model.Instant, host *simHost) bool
+	mute    func(now model.Instant, host *simHost) bool // answers are lost
+	hits    int
+}
+
+type simAttempt struct {
+	host    *simHost
+	forward effect.Forward
+	started model.Instant
+	working bool
+	ended   bool
+}
+
+type simEvent struct {
+	at    model.Instant
+	order int
+	run   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newSim(t testing.TB, o simOptions) *sim {
+	if o.hosts == 0 {
+		o.hosts, o.servers, o.rate, o.floor = 40, 10, 200, 0.6
+	}
+	m := &sim{simOptions: o, c: qt.New(t), term: firstTerm, firstFailure: model.Never}
+	m.rand = rand.New(rand.NewPCG(o.seed, 99))
+	for i := range o.servers {
+		s := &simServer{id: model.ServerID(fmt.Sprintf("127.0.0.1:%d", 9000+i)), index: i, service: 40 * time.Millisecond}
+		m.servers = append(m.servers, s)
+	}
+	for i := range o.hosts {
+		m.hosts = append(m.hosts, m.newHost(i))
+		m.list = append(m.list, model.HostEntry{ID: hostName(i), Role: model.RoleEntry})
+	}
+	for _, h := range m.hosts {
+		h.reduce(event.HostsListed{Entries: m.list})
+	}
+	m.at(0, m.arrive)
+	return m
+}
+
+func hostName(i int) string { return fmt.Sprintf("host-%02d", i) }
+
+func domainName(i int) model.DomainID { return model.DomainID(fmt.Sprintf("domain-%d", i%simDomains)) }
+
+func (m *sim) newHost(i int) *simHost {
+	h := &simHost{sim: m, state: NewState(), index: i, domain: i % simDomains}
+	h.server = make(map[model.RequestID]model.ServerID)
+	h.state.servers.ownership = h
+	h.state.snapshot = m.snapshot()
+	self := model.HostRef{ID: model.HostID(hostName(i)), Incarnation: 1}
+	h.reduce(event.Started{Self: self, Domain: domainName(i), Seed: m.seed + uint64(i)})
+	h.state.serversConfigured()
+	return h
+}
+
+func (m *sim) snapshot() *configuration.Snapshot {
+	var domains []model.DomainID
+	for i := range simDomains {
+		domains = append(domains, domainName(i))
+	}
+	snapshot := configuration.NewSnapshot(1, domains, 4)
+	service := &configuration.Service{
+		ID: simService, Slots: 6, Connections: 300, Floor: m.floor,
+		Concurrency: 64, Queue: 64, ColdRamp: 10 * time.Second,
+	}
+	for _, s := range m.servers {
+		service.Servers = append(service.Servers, s.id)
+	}
+	snapshot.AddService(service)
+	snapshot.AddRoute(&configuration.Route{
+		ID: "lookup", Path: "/lookup", Service: simService, Open: true, Idempotent: true, Timeout: time.Second,
+	})
+	return snapshot
+}
+
+// slotOwner and ownsSlot stand in for the slots' records: the owner is what
+// the test says.
+func (h *simHost) slotOwner(model.SlotID) (model.HostRef, bool) {
+	return model.HostRef{ID: model.HostID(hostName(h.sim.owner)), Incarnation: 1}, true
+}
+
+func (h *simHost) ownsSlot(model.SlotID) (uint64, bool) {
+	return h.sim.term, h.index == h.sim.owner
+}
+
+// at runs f after a delay.
+func (m *sim) at(delay time.Duration, f func()) {
+	m.order++
+	heap.Push(&m.queue, simEvent{m.now.Add(delay), m.order, f})
+}
+
+// run advances virtual time to the given instant.
+func (m *sim) run(until time.Duration) {
+	for len(m.queue) > 0 && m.queue[0].at <= model.Instant(until) {
+		e := heap.Pop(&m.queue).(simEvent)
+		m.now = max(m.now, e.at)
+		e.run()
+	}
+	m.now = model.Instant(until)
+}
+
+func (m *sim) exponential(mean time.Duration) time.Duration {
+	return time.Duration(m.rand.ExpFloat64() * float64(mean))
+}
+
+func (m *sim) arrive() {
+	if m.halted {
+		return
+	}
+	m.nextID++
+	h := m.hosts[m.rand.IntN(len(m.hosts))]
+	h.reduce(event.RequestArrived{Request: m.nextID, Method: "GET", Path: "/lookup"})
+	m.at(m.exponential(time.Duration(float64(time.Second)/m.rate)), m.arrive)
+}
+
+func (h *simHost) reduce(body event.Body) {
+	effects := slices.Clone(Reduce(h.state, event.Event{At: h.sim.now, Wall: 1, Body: body}))
+	for _, e := range effects {
+		h.apply(e)
+	}
+}
+
+func (h *simHost) apply(e effect.Effect) {
+	m := h.sim
+	switch e := e.(type) {
+	case effect.SetTimer:
+		h.timer++
+		number := h.timer
+		m.at(e.At.Sub(m.now), func() {
+			if h.timer == number {
+				h.reduce(event.TimerFired{})
+			}
+		})
+	case effect.Forward:
+		h.server[e.Request] = e.Server
+		m.at(time.Millisecond, func() { m.serverOf(e.Server).arrive(&simAttempt{host: h, forward: e}) })
+	case effect.Deliver:
+		m.at(0, func() { h.reduce(event.AnswerSent{Request: e.Request, Complete: true}) })
+	case effect.Refuse:
+		m.at(0, func() { h.reduce(event.AnswerSent{Request: e.Request, Complete: true}) })
+	case effect.Record:
+		m.outcomes = append(m.outcomes, e.Outcome)
+	case effect.Notice:
+		if e.Kind == effect.NoticeEjected {
+			m.ejected = append(m.ejected, model.ServerID(e.Detail))
+		}
+	case effect.Send:
+		h.send(e)
+	}
+}
+
+func (h *simHost) send(e effect.Send) {
+	m := h.sim
+	switch e.Message.(type) {
+	case message.Evidence:
+		m.evidence++
+	case message.EjectionSet:
+		m.sets++
+	}
+	if m.rand.Float64() < m.loss {
+		return
+	}
+	delay := 2*time.Millisecond + time.Duration(m.rand.IntN(3000))*time.Microsecond
+	m.at(delay, func() {
+		for _, to := range m.hosts {
+			if to.state.self.ID == e.To {
+				to.reduce(event.PeerReceived{From: h.state.self, Message: e.Message})
+			}
+		}
+	})
+}
+
+func (m *sim) serverOf(id model.ServerID) *simServer {
+	i := slices.IndexFunc(m.servers, func(s *simServer) bool { return s.id == id })
+	return m.servers[i]
+}
+
+// arrive takes a request at the server and cancels it at its deadline.
+func (s *simServer) arrive(a *simAttempt) {
+	m := a.host.sim
+	a.started = m.now
+	s.hits++
+	m.at(a.forward.Deadline.Sub(m.now), func() {
+		s.end(a, model.AttemptResult{Reason: model.ReasonTimedOut})
+	})
+	s.waiting = append(s.waiting, a)
+	s.work(m)
+}
+
+func (s *simServer) work(m *sim) {
+	for s.busy < 6 && len(s.waiting) > 0 {
+		a := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		if a.ended {
+			continue
+		}
+		s.busy++
+		a.working = true
+		m.at(m.exponential(s.service), func() { s.finish(a) })
+	}
+}
+
+func (s *simServer) finish(a *simAttempt) {
+	m := a.host.sim
+	if s.mute != nil && s.mute(m.now, a.host) {
+		return // ends at its deadline
+	}
+	status := 200
+	if s.fails != nil && s.fails(m.now, a.host) {
+		status = 500
+	}
+	s.end(a, model.AttemptResult{Verdict: model.Ran, Status: status})
+}
+
+func (s *simServer) end(a *simAttempt, result model.AttemptResult) {
+	if a.ended {
+		return
+	}
+	m := a.host.sim
+	a.ended = true
+	if a.working {
+		s.busy--
+	}
+	result.InFlight, result.Slots = s.busy+len(s.waiting), 6
+	result.Latency = m.now - a.started
+	if result.Status != 200 {
+		m.firstFailure = min(m.firstFailure, m.now)
+	}
+	m.at(time.Millisecond, func() {
+		a.host.reduce(event.AttemptEnded{Request: a.forward.Request, Server: s.id, Result: result})
+	})
+	s.work(m)
+}
+
+// inForce counts the hosts that have the server ejected or in trial.
+func (m *sim) inForce(id model.ServerID) int {
+	n := 0
+	for _, h := range m.hosts {
+		out := h.state.servers.inForce[simService]
+		if slices.Contains(out.ejected, id) || slices.Contains(out.trial, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// fails returns a fault in which a share of the requests fails from a time on.
+func (m *sim) failing(share float64, from time.Duration) func(model.Instant, *simHost) bool {
+	return func(now model.Instant, _ *simHost) bool {
+		return now >= model.Instant(from) && m.rand.Float64() < share
+	}
+}
