--- a/decision/servers.go
+++ b/decision/servers.go
@@ -1,58 +1,244 @@
 package decision
 
 import (
-	"pollensail.dev/decision/effect"
-	"pollensail.dev/decision/message"
+	"maps"
+	"slices"
+
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/health"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/decision/placement"
 )
 
 // serverState is the health and the use of backend servers.
-type serverState struct{}
+type serverState struct {
+	roster *placement.Roster
+	pools  map[model.ServiceID]*placement.Pool
+	// built is the snapshot from which the pools were built, slots its slots.
+	built *configuration.Snapshot
+	slots []model.SlotID
+	// slotsChanged is true once the slots differ from those at the start.
+	slotsChanged bool
+	// listed are the servers that the host list adds to services.
+	listed map[model.ServiceID][]model.ServerID
+	// members are all servers of each service, leaving ones included, in this
+	// host's rendezvous order.
+	members map[model.ServiceID][]model.ServerID
+	// peers are the other listed entry hosts; users counts the entry hosts
+	// that are not leaving.
+	peers []model.HostID
+	users int
+	// serving are the pools whose queue is being served, so that a request
+	// that ends while it is advanced does not start over.
+	serving map[model.ServiceID]bool
+
+	monitors     map[model.ServiceID]*health.Monitor
+	evidenceAt   model.Instant // time of the evidence timer
+	coordinators map[model.ServiceID]*health.Coordinator
+	sets         *health.Sets
+	// inForce are the published sets as far as the floor allows here.
+	inForce map[model.ServiceID]ejections
+	// ownership replaces the slot owners of this host's own knowledge in
+	// tests; nil otherwise.
+	ownership slotOwnership
+}
+
+// ejections are the servers of a service that get no ordinary work.
+type ejections struct {
+	ejected []model.ServerID
+	trial   []model.ServerID
+}
+
+func newServerState() serverState {
+	return serverState{
+		roster:       placement.NewRoster(),
+		pools:        make(map[model.ServiceID]*placement.Pool),
+		listed:       make(map[model.ServiceID][]model.ServerID),
+		members:      make(map[model.ServiceID][]model.ServerID),
+		serving:      make(map[model.ServiceID]bool),
+		monitors:     make(map[model.ServiceID]*health.Monitor),
+		evidenceAt:   model.Never,
+		coordinators: make(map[model.ServiceID]*health.Coordinator),
+		sets:         health.NewSets(),
+		inForce:      make(map[model.ServiceID]ejections),
+	}
+}
+
+// The deadlines of this concern, as ids of timerServers.
+const (
+	serversTimerRoster      uint64 = iota // a leaving server is forgotten
+	serversTimerEvidence                  // reports to coordinators are due
+	serversTimerCoordinator               // a coordinator has something to do
+	serversTimerSets                      // an ejection set expires
+)
 
-func newServerState() serverState { return serverState{} }
+func (s *State) onServersTimer(id uint64) {
+	switch id {
+	case serversTimerRoster:
+		s.expireLeaving()
+	case serversTimerEvidence:
+		s.sendEvidence()
+	case serversTimerCoordinator:
+		s.runCoordinators()
+	case serversTimerSets:
+		s.rebuildPools()
+	}
+}
+
+func (s *State) startServers() {}
+
+// serversHostsListed takes the members that the host list adds, the servers
+// that it says are leaving, and the number of hosts that share the servers.
+func (s *State) serversHostsListed(entries []model.HostEntry) {
+	clear(s.servers.listed)
+	s.servers.peers = s.servers.peers[:0]
+	s.servers.users = 0
+	for _, e := range entries {
+		switch e.Role {
+		case model.RoleBackend:
+			s.servers.listed[e.Service] = append(s.servers.listed[e.Service], model.ServerID(e.ID))
+		case model.RoleEntry:
+			s.listEntryHost(e)
+		}
+	}
+	for _, id := range s.servers.roster.Listed(s.now, entries) {
+		s.noticeLeaving(id, "the host list")
+	}
+	s.rebuildPools()
+}
+
+func (s *State) listEntryHost(e model.HostEntry) {
+	if id := model.HostID(e.ID); id != s.self.ID {
+		s.servers.peers = append(s.servers.peers, id)
+	}
+	if !e.Leaving {
+		s.servers.users++
+	}
+}
 
-func (s *State) startServers()                                    {}
-func (s *State) serversHostsListed(entries []model.HostEntry)     {}
-func (s *State) serversConfigured()                               {}
-func (s *State) onServersTimer(id uint64)                         {}
-func (s *State) onEvidence(model.HostRef, message.Evidence)       {}
-func (s *State) onEjectionSet(model.HostRef, message.EjectionSet) {}
+// serversConfigured takes the services of a new configuration in force.
+func (s *State) serversConfigured() {
+	if s.snapshot == nil {
+		return
+	}
+	s.servers.slotsChanged = s.servers.slotsChanged ||
+		s.servers.built != nil && !slices.Equal(s.servers.slots, s.snapshot.Slots())
+	s.servers.built = s.snapshot
+	s.servers.slots = s.snapshot.Slots()
+	var servers []model.ServerID
+	for _, service := range s.snapshot.Services {
+		servers = append(servers, service.Servers...)
+	}
+	s.servers.roster.Configured(s.now, servers)
+	s.rebuildPools()
+}
 
-// place chooses a server for the request or queues it.
-func (s *State) place(r *request) step {
-	service, ok := s.snapshot.Services[r.route.Service]
-	if !ok || len(service.Servers) == 0 {
-		s.refuse(r, model.ReasonNoServer, 0)
-		return stepDone
+// pool returns the host's use of a service, nil for an unknown one.
+func (s *State) pool(id model.ServiceID) *placement.Pool {
+	if s.snapshot == nil {
+		return nil
+	}
+	if s.servers.built != s.snapshot {
+		s.serversConfigured()
 	}
-	r.server = service.Servers[s.rand.IntN(len(service.Servers))]
-	r.placed = true
-	return stepNext
+	if _, ok := s.snapshot.Services[id]; !ok {
+		return nil
+	}
+	return s.servers.pools[id]
 }
 
-// unplace gives back the request's place at its server, if it has one.
-func (s *State) unplace(r *request) { r.placed = false }
+// rebuildPools computes every subset anew. Services are taken in order, so
+// that the same events give the same effects.
+func (s *State) rebuildPools() {
+	if s.snapshot == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.snapshot.Services)) {
+		s.rebuildPool(s.snapshot.Services[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.servers.pools)) {
+		if _, ok := s.snapshot.Services[id]; !ok {
+			s.closePool(id)
+		}
+	}
+	s.setRosterTimer()
+	s.setSetsTimer()
+}
 
-// observe takes the result of an attempt as evidence and gives the place back
-// unless the answer still streams.
-func (s *State) observe(r *request, result model.AttemptResult) {
-	if !result.Streaming {
-		s.unplace(r)
+// rebuildPool computes the host's subset of a service: the first servers in
+// its rendezvous order that are neither leaving nor ejected.
+func (s *State) rebuildPool(service *configuration.Service) {
+	pool, ok := s.servers.pools[service.ID]
+	if !ok {
+		pool = placement.NewPool()
+		s.servers.pools[service.ID] = pool
 	}
+	listed := s.servers.listed[service.ID]
+	s.servers.members[service.ID] = placement.Rank(s.self.ID, slices.Concat(service.Servers, listed))
+	s.limitEjections(service)
+	usable := s.usable(service)
+	hosts := max(s.servers.users, 1)
+	size := placement.SubsetSize(hosts, len(usable), service.Connections)
+	limits := placement.Limits{
+		Slots:       service.Slots,
+		Connections: placement.ConnectionShare(hosts, len(usable), size, service.Connections),
+		Concurrency: service.Concurrency,
+		Queue:       service.Queue,
+		ColdRamp:    service.ColdRamp,
+	}
+	pool.Configure(limits, usable[:size])
+	s.serveQueue(service.ID)
 }
 
-// streamEnded takes the end of a streamed answer as evidence.
-func (s *State) streamEnded(r *request, serverFailed bool) {}
+// closePool ends the use of a service that the configuration no longer has.
+func (s *State) closePool(id model.ServiceID) {
+	pool := s.servers.pools[id]
+	pool.Configure(placement.Limits{}, nil)
+	s.serveQueue(id)
+	delete(s.servers.members, id)
+	delete(s.servers.inForce, id)
+	delete(s.servers.monitors, id)
+	delete(s.servers.coordinators, id)
+	if pool.InFlight() == 0 {
+		delete(s.servers.pools, id)
+	}
+}
 
-// takeRetry takes one retry from the budget. It reports false when the budget
-// is spent or no other server is left.
-func (s *State) takeRetry(r *request, result model.AttemptResult) bool { return false }
+// usable returns the servers that may get ordinary work, in this host's order.
+func (s *State) usable(service *configuration.Service) []placement.Member {
+	out := s.servers.inForce[service.ID]
+	var usable []placement.Member
+	for _, id := range s.servers.members[service.ID] {
+		if s.servers.roster.IsLeaving(id) || slices.Contains(out.ejected, id) {
+			continue
+		}
+		usable = append(usable, placement.Member{
+			ID:        id,
+			ColdSince: s.servers.roster.ColdSince(id),
+			Trial:     slices.Contains(out.trial, id),
+		})
+	}
+	return usable
+}
 
-// leavingServers returns the servers to announce as leaving in heartbeats.
-func (s *State) leavingServers() []model.ServerID { return nil }
+// slotOwnership says who owns slots.
+type slotOwnership interface {
+	slotOwner(model.SlotID) (model.HostRef, bool)
+	ownsSlot(model.SlotID) (term uint64, ok bool)
+}
 
-// leavingHeard is called with the leaving servers of a peer's heartbeat.
-func (s *State) leavingHeard(servers []model.ServerID) {}
+// slotOwner returns the owner of a slot as this host knows it.
+func (s *State) slotOwner(slot model.SlotID) (model.HostRef, bool) {
+	if s.servers.ownership != nil {
+		return s.servers.ownership.slotOwner(slot)
+	}
+	return s.self, len(s.servers.peers) == 0
+}
 
-// serversStatus adds the servers that are not in normal use to the status.
-func (s *State) serversStatus(status *effect.Status) {}
+// ownsSlot reports whether this host owns the slot now, and for which term.
+func (s *State) ownsSlot(slot model.SlotID) (term uint64, ok bool) {
+	if s.servers.ownership != nil {
+		return s.servers.ownership.ownsSlot(slot)
+	}
+	return firstTerm, len(s.servers.peers) == 0
+}
