--- /dev/null
+++ b/decision/limits_membership.go
@@ -0,0 +1,117 @@
+package decision
+
+import (
+	"time"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/membership"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+	"pollensail.dev/decision/slot"
+)
+
+func (s *State) limitsHostsListed(entries []model.HostEntry) {
+	s.latchSlots()
+	s.limits.members.SetHosts(s.now, entries)
+	s.latchSlots()
+}
+
+// isIsolated reports whether the host can tell neither that it is up to date
+// nor that the store is down for all.
+func (s *State) isIsolated() bool {
+	return s.limits.members.Authority(s.now).Authority == membership.Isolated
+}
+
+// storeReached says that the store has just answered a call whose time of
+// leaving is not known. It counts from a heartbeat before the answer was taken
+// up, because the answer may have waited while the process was paused.
+func (s *State) storeReached() { s.limits.members.StoreReached(s.limits.tickBefore) }
+
+// storeAnswered says that the store answered a call that left at the given
+// instant.
+func (s *State) storeAnswered(sentAt model.Instant, e event.StoreError) {
+	if e != event.StoreUnavailable {
+		s.limits.members.StoreReached(sentAt)
+	}
+}
+
+func (s *State) tickHeartbeat() {
+	s.limits.tickBefore, s.limits.tickAt = s.limits.tickAt, s.now
+	if peer, m, ok := s.limits.members.Ask(s.now, s.rand); ok {
+		s.send(peer, s.fillHeartbeat(m))
+	}
+	s.readStore()
+	s.noticeAuthority()
+}
+
+func (s *State) fillHeartbeat(m message.Heartbeat) message.Heartbeat {
+	if s.snapshot != nil {
+		m.Version = s.snapshot.Version
+	}
+	m.Leaving = s.leavingServers()
+	m.Stopping = s.stopping
+	return m
+}
+
+func (s *State) onHeartbeat(from model.HostRef, m message.Heartbeat) {
+	s.latchSlots()
+	s.limits.members.Heard(s.now, from, m)
+	s.limits.slots.Heard(s.now, m)
+	s.latchSlots()
+	s.runSlots()
+	s.leavingHeard(m.Leaving)
+	s.configHeard(from, m.Version)
+	if m.Echo == 0 && m.Sequence != 0 {
+		s.answerHeartbeat(from, m)
+	}
+}
+
+func (s *State) answerHeartbeat(from model.HostRef, asked message.Heartbeat) {
+	answer := s.limits.members.Answer(s.now, asked)
+	answer.Slots, answer.Intents = s.limits.slots.Announce(s.now)
+	s.send(from.ID, s.fillHeartbeat(answer))
+}
+
+// announce tells every peer of a slot that this host has acquired, because
+// hosts without a known owner refuse requests.
+func (s *State) announce(id model.SlotID, term uint64) {
+	m := s.fillHeartbeat(message.Heartbeat{StoreAge: -1})
+	m.Slots = []message.SlotOwned{{Slot: id, Owner: s.self, Term: term}}
+	for _, peer := range s.limits.members.Peers() {
+		s.send(peer, m)
+	}
+}
+
+// readStore reads a slot when no answer of the store has been heard of for
+// some time, to find out whether the store is down or just not in use.
+func (s *State) readStore() {
+	stamp, ok := s.limits.members.StoreStamp()
+	isFresh := ok && s.now < stamp.Add(storeReadAfter)
+	if s.snapshot == nil || isFresh || s.now < s.limits.storeReadAt.Add(time.Second) {
+		return
+	}
+	s.limits.storeReadAt = s.now
+	s.emit(effect.ReadSlot{Slot: model.SlotID{Domain: s.domain}})
+}
+
+func (s *State) noticeAuthority() {
+	authority := s.limits.members.Authority(s.now).Authority
+	if authority != s.limits.authority {
+		s.limits.authority = authority
+		s.notice(effect.NoticeAuthority, authority.String())
+	}
+}
+
+// fleet returns what slots need to know of the other hosts.
+func (s *State) fleet() slot.Fleet {
+	members := s.limits.members.Members(s.now)
+	f := slot.Fleet{Members: make([]slot.Member, 0, len(members))}
+	for _, m := range members {
+		f.Members = append(f.Members, slot.Member{
+			Ref: m.Ref, Domain: m.Domain, Live: m.Live, Heard: m.Heard,
+			Staying: m.Staying && !(m.Ref == s.self && s.stopping),
+		})
+	}
+	return f
+}
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -17,13 +17,23 @@
 // of sending; a receiver adds nothing for the way, and a relay adds the time
 // that it kept them.
 type Heartbeat struct {
+	// Sequence grows with each heartbeat of the sender's incarnation; 0 in one
+	// that only announces an owner and asks for no answer.
 	Sequence uint64
+	// Echo is the sequence of the heartbeat that this one answers; 0 in one
+	// that asks for an answer. Only answers count as evidence, because their
+	// age is at most the time since the echoed sequence was sent.
+	Echo uint64
+	// Young says that the sender started too recently to count as evidence:
+	// its earlier life may have acknowledged a ClaimIntent that it forgot.
+	Young bool
 	// StoreAge is the age of the newest store answer known to the sender;
 	// negative when it knows none.
 	StoreAge time.Duration
 	Version  uint64 // of the configuration in force; 0: none
 	Slots    []SlotOwned
-	Hosts    []HostAge // at most MaxHostAges, freshest first
+	Intents  []IntentHeard // every recent one known to the sender
+	Hosts    []HostAge     // at most MaxHostAges, freshest first
 	Leaving  []model.ServerID
 	Stopping bool // the sender accepts no new work
 }
@@ -40,10 +50,18 @@
 	Age   time.Duration // since the owner said so
 }
 
+// IntentHeard says how long ago the newest known ClaimIntent for a slot was
+// received by the first host that acknowledged it.
+type IntentHeard struct {
+	Slot model.SlotID
+	Age  time.Duration
+}
+
 // HostAge says how old the newest known heartbeat of a host is.
 type HostAge struct {
-	Host model.HostRef
-	Age  time.Duration
+	Host  model.HostRef
+	Age   time.Duration
+	Young bool // as in Heartbeat, of that host
 }
 
 // TokenAsk asks the owner of a slot for tokens of a client account and
@@ -60,6 +78,8 @@
 type Settlement struct {
 	Grant uint64
 	Spent int
+	// Age is the time from the last use of a token of the grant to sending.
+	Age time.Duration
 }
 
 // TokenGrant answers TokenAsk. Tokens may be fewer than asked for.
@@ -211,9 +231,12 @@
 // sender has frozen the slot before it sends.
 type HandoverOffer struct {
 	Slot    model.SlotID
+	Offer   uint64 // grows with each offer of the sender's incarnation
 	Record  model.SlotRecord
-	Version uint64        // of the record in the store
-	Expires time.Duration // what is left of the sender's authority
+	Version uint64 // of the record in the store
+	// ZeroAge is the time since buckets that are not listed were empty;
+	// negative when they were full from the start.
+	ZeroAge time.Duration
 	Buckets []BucketState
 	Claims  []ClaimState
 }
@@ -245,8 +268,8 @@
 
 // HandoverAck says that the successor holds the offered state.
 type HandoverAck struct {
-	Slot model.SlotID
-	Term uint64 // of the offered record
+	Slot  model.SlotID
+	Offer uint64
 }
 
 // HandoverCommit tells the successor to take over. Record and Version are the
@@ -254,15 +277,20 @@
 // back. It is repeated until acknowledged.
 type HandoverCommit struct {
 	Slot    model.SlotID
+	Offer   uint64
 	Record  model.SlotRecord
 	Version uint64
 	Stored  bool
+	// Expires is what is left of the lease when the commit is sent; negative
+	// where the sender was past its lease in a store outage. The successor
+	// counts it from its acknowledgement, which is earlier.
+	Expires time.Duration
 }
 
 // HandoverCommitAck acknowledges HandoverCommit.
 type HandoverCommitAck struct {
-	Slot model.SlotID
-	Term uint64
+	Slot  model.SlotID
+	Offer uint64
 }
 
 func (Heartbeat) message()         {}
--- a/decision/request.go
+++ b/decision/request.go
@@ -156,6 +156,7 @@
 		return
 	}
 	r.attempts++
+	s.spendToken(r)
 	s.emit(effect.Forward{
 		Request:      r.Request,
 		Server:       r.server,
--- a/decision/schedule/schedule.go
+++ b/decision/schedule/schedule.go
@@ -32,6 +32,13 @@
 	heap.Push(&s.entries, d)
 }
 
+// SetEarlier makes key due at the given instant unless it is due before.
+func (s *Schedule[K]) SetEarlier(key K, at model.Instant) {
+	if d, ok := s.byKey[key]; !ok || at < d.at {
+		s.Set(key, at)
+	}
+}
+
 // Cancel removes key's deadline, if any.
 func (s *Schedule[K]) Cancel(key K) {
 	d, ok := s.byKey[key]
--- /dev/null
+++ b/decision/slot/claim.go
@@ -0,0 +1,225 @@
+package slot
+
+import (
+	"time"
+
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// intentWindow is how long acknowledgements of one intent are collected. An
+// acknowledgement must be recent when the wait begins: a host that restarts
+// after it does not count as evidence for longer than this plus the wait.
+const intentWindow = 2 * time.Second
+
+// phase is how far a claim has come.
+type phase uint8
+
+const (
+	phaseRead   phase = iota // reads the record
+	phaseIntent              // collects acknowledgements
+	phaseWait                // waits for the owner's lease to end
+	phaseReread              // reads whether the owner has renewed
+	phaseSwap                // writes the record, or reads it back
+)
+
+// claim is this host's attempt to take over a vacant slot.
+type claim struct {
+	phase    phase
+	began    model.Instant
+	triedAt  model.Instant
+	record   model.SlotRecord // of the owner before; then the one to write
+	version  uint64           // of the owner's record; 0: there is none
+	intent   uint64
+	intentAt model.Instant
+	acks     map[model.HostID]bool
+	ready    model.Instant // end of phaseWait
+	swapAt   model.Instant // when the swap was sent first
+}
+
+// startClaims begins a claim of each vacant slot that falls to this host. Only
+// reading is allowed before the owner has been silent.
+func (s *State) startClaims(now model.Instant, f Fleet) {
+	if s.stopping {
+		return
+	}
+	for _, v := range s.planned(now, f) {
+		isUnknown := v.owner.IsZero()
+		isSilent := now >= v.heardAt.Add(silence)
+		if v.claim == nil && (isUnknown || isSilent) {
+			v.claim = &claim{began: now}
+			s.readForClaim(now, v)
+		}
+	}
+}
+
+func (s *State) readForClaim(now model.Instant, v *slot) {
+	v.claim.triedAt = now
+	s.emit(Read{v.id})
+}
+
+// stepClaim repeats what was not answered and moves on when the wait is over.
+func (s *State) stepClaim(now model.Instant, f Fleet, v *slot) {
+	c := v.claim
+	if c.phase != phaseSwap && v.heardAt > c.began {
+		v.claim = nil
+		return
+	}
+	switch c.phase {
+	case phaseIntent:
+		s.stepIntent(now, f, v)
+	case phaseWait:
+		if now >= c.ready {
+			c.phase = phaseReread
+			s.readForClaim(now, v)
+		}
+	default:
+		if now >= c.triedAt.Add(2*retryEvery) {
+			s.readForClaim(now, v)
+		}
+	}
+}
+
+func (s *State) stepIntent(now model.Instant, f Fleet, v *slot) {
+	c := v.claim
+	if now >= c.intentAt.Add(intentWindow) {
+		s.beginIntent(now, v)
+	}
+	if len(c.acks) > len(f.Members)/2 {
+		c.phase = phaseWait
+		c.ready = now.Add(Lease + Grace)
+		return
+	}
+	if now < c.triedAt.Add(retryEvery) {
+		return
+	}
+	c.triedAt = now
+	for _, m := range s.members(f, func(m Member) bool { return !c.acks[m.Ref.ID] }) {
+		s.emit(Send{m.Ref.ID, message.ClaimIntent{Intent: c.intent, Slot: v.id}})
+	}
+}
+
+// beginIntent starts to collect acknowledgements, this host's own first.
+func (s *State) beginIntent(now model.Instant, v *slot) {
+	c := v.claim
+	c.phase = phaseIntent
+	c.intent = s.nextSerial()
+	c.intentAt = now
+	c.triedAt = now.Add(-retryEvery)
+	c.acks = map[model.HostID]bool{s.self.ID: true}
+	s.hearIntent(v, now)
+}
+
+func (s *State) onIntent(now model.Instant, from model.HostRef, m message.ClaimIntent) {
+	v, ok := s.slots[m.Slot]
+	if !ok {
+		return
+	}
+	s.hearIntent(v, now)
+	s.emit(Send{from.ID, message.ClaimIntentAck{Intent: m.Intent, Slot: m.Slot}})
+}
+
+func (s *State) onIntentAck(now model.Instant, f Fleet, from model.HostRef, m message.ClaimIntentAck) {
+	v, ok := s.slots[m.Slot]
+	if !ok || v.claim == nil || v.claim.phase != phaseIntent || v.claim.intent != m.Intent {
+		return
+	}
+	v.claim.acks[from.ID] = true
+	s.stepIntent(now, f, v)
+}
+
+// claimRead takes the record of a slot that this host wants.
+func (s *State) claimRead(now model.Instant, wall model.WallTime, f Fleet, v *slot, e event.SlotRead) {
+	c := v.claim
+	switch c.phase {
+	case phaseRead:
+		s.claimFirstRead(now, f, v, e)
+	case phaseReread:
+		s.claimReread(now, v, e)
+	case phaseSwap:
+		s.claimReadBack(now, wall, v, e)
+	}
+}
+
+func (s *State) claimFirstRead(now model.Instant, f Fleet, v *slot, e event.SlotRead) {
+	c := v.claim
+	if e.Version == 0 {
+		s.swapForClaim(now, v, model.SlotRecord{Owner: s.self, Term: 1, Renewal: 1, Continuous: true})
+		return
+	}
+	c.record, c.version = e.Record, e.Version
+	if e.Record.Owner == s.self {
+		// A swap of an abandoned claim took effect: nobody else owns the slot.
+		s.swapForClaim(now, v, s.successorRecord(e.Record))
+		return
+	}
+	s.hearOwner(v, e.Record.Owner, e.Record.Term, v.heardAt)
+	if now < v.heardAt.Add(silence) {
+		v.claim = nil
+		return
+	}
+	s.beginIntent(now, v)
+	s.stepIntent(now, f, v)
+}
+
+// successorRecord is the record of a claim that follows an owner's loss.
+func (s *State) successorRecord(before model.SlotRecord) model.SlotRecord {
+	return model.SlotRecord{Owner: s.self, Term: before.Term + 1, Renewal: before.Renewal + 1}
+}
+
+func (s *State) claimReread(now model.Instant, v *slot, e event.SlotRead) {
+	c := v.claim
+	if e.Version != c.version || e.Record != c.record {
+		s.yieldTo(now, v, e.Record)
+		return
+	}
+	s.swapForClaim(now, v, s.successorRecord(c.record))
+}
+
+// yieldTo ends a claim because the record changed: an owner is alive.
+func (s *State) yieldTo(now model.Instant, v *slot, record model.SlotRecord) {
+	v.claim = nil
+	s.hearOwner(v, record.Owner, record.Term, now)
+}
+
+func (s *State) swapForClaim(now model.Instant, v *slot, record model.SlotRecord) {
+	c := v.claim
+	c.phase = phaseSwap
+	c.record = record
+	c.swapAt, c.triedAt = now, now
+	s.emit(Swap{v.id, c.version, record})
+}
+
+// claimSwapped takes the answer to the swap of a claim.
+func (s *State) claimSwapped(now model.Instant, wall model.WallTime, v *slot, e event.SlotSwapped) {
+	c := v.claim
+	if c.phase != phaseSwap || c.record != e.Record {
+		return
+	}
+	switch e.Error {
+	case event.StoreOK:
+		s.claimed(now, wall, v, e.Version)
+	default:
+		s.readForClaim(now, v)
+	}
+}
+
+// claimReadBack settles a swap that met a conflict or whose answer was lost.
+func (s *State) claimReadBack(now model.Instant, wall model.WallTime, v *slot, e event.SlotRead) {
+	c := v.claim
+	switch {
+	case e.Record == c.record && e.Version != 0:
+		s.claimed(now, wall, v, e.Version)
+	case e.Version == c.version:
+		s.emit(Swap{v.id, c.version, c.record})
+	default:
+		s.yieldTo(now, v, e.Record)
+	}
+}
+
+func (s *State) claimed(now model.Instant, wall model.WallTime, v *slot, version uint64) {
+	c := v.claim
+	s.acquire(now, wall, v, &lease{record: c.record, version: version, renewedFrom: c.swapAt})
+	s.emit(Acquired{Slot: v.id, Term: c.record.Term, Continuous: c.record.Continuous})
+}
--- /dev/null
+++ b/decision/slot/step.go
@@ -0,0 +1,93 @@
+package slot
+
+import (
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// Tick does what is due: renewals, claims and handovers. fill completes an
+// offer when a slot is frozen.
+func (s *State) Tick(now model.Instant, f Fleet, fill Fill) {
+	for _, id := range s.order {
+		v := s.slots[id]
+		switch {
+		case v.lease != nil && (v.handover != nil || s.stopping):
+			s.stepHandover(now, f, v, fill)
+			s.renewUnfrozen(now, f, v)
+		case v.lease != nil:
+			s.renew(now, f, v)
+		case v.claim != nil:
+			s.stepClaim(now, f, v)
+		}
+	}
+	s.startClaims(now, f)
+	s.rebalance(now, f, fill)
+}
+
+// renewUnfrozen renews a slot of a stopping host while it has no successor.
+func (s *State) renewUnfrozen(now model.Instant, f Fleet, v *slot) {
+	if v.lease != nil && v.handover == nil {
+		s.renew(now, f, v)
+	}
+}
+
+// OnRead takes the answer to a Read.
+func (s *State) OnRead(now model.Instant, wall model.WallTime, f Fleet, e event.SlotRead) {
+	s.relayRead(e)
+	v, ok := s.slots[e.Slot]
+	if !ok || e.Error != event.StoreOK {
+		return
+	}
+	switch {
+	case v.lease != nil && v.handover != nil:
+		s.handoverRead(now, v, e)
+	case v.lease != nil:
+		s.leaseRead(v, e.Record, e.Version)
+	case s.incomingRead(now, wall, v, e):
+	case v.claim != nil:
+		s.claimRead(now, wall, f, v, e)
+	}
+}
+
+// OnSwapped takes the answer to a Swap.
+func (s *State) OnSwapped(now model.Instant, wall model.WallTime, e event.SlotSwapped) {
+	if s.relaySwapped(e) {
+		return
+	}
+	v, ok := s.slots[e.Slot]
+	switch {
+	case !ok:
+	case v.lease != nil && v.handover != nil:
+		s.handoverSwapped(now, v, e)
+	case v.lease != nil:
+		s.leaseSwapped(v, e)
+	case v.claim != nil:
+		s.claimSwapped(now, wall, v, e)
+	}
+}
+
+// OnMessage takes a message about slots. It reports false for another type.
+func (s *State) OnMessage(now model.Instant, wall model.WallTime, f Fleet, from model.HostRef, m message.Message) bool {
+	switch m := m.(type) {
+	case message.ClaimIntent:
+		s.onIntent(now, from, m)
+	case message.ClaimIntentAck:
+		s.onIntentAck(now, f, from, m)
+	case message.RenewRelay:
+		s.onRelay(from, m)
+	case message.RenewResult:
+		s.onRenewResult(m)
+	case message.HandoverOffer:
+		s.onOffer(now, from, m)
+	case message.HandoverAck:
+		s.onHandoverAck(now, from, m)
+	case message.HandoverCommit:
+		s.onCommit(now, wall, from, m)
+	case message.HandoverCommitAck:
+		s.onCommitAck(now, from, m)
+	default:
+		return false
+	}
+	return true
+}
--- a/decision/stop.go
+++ b/decision/stop.go
@@ -21,12 +21,15 @@
 	s.timers.Set(timerKey{kind: timerStop}, s.now.Add(balancerDelay))
 }
 
-func (s *State) onStopTimer() { s.checkStopped() }
+func (s *State) onStopTimer() {
+	s.drained = true
+	s.checkStopped()
+}
 
 // checkStopped ends the process when the balancer's delay has passed, no
 // request is in flight and every slot is handed over.
 func (s *State) checkStopped() {
-	if !s.stopping || len(s.requests) > 0 {
+	if !s.drained || len(s.requests) > 0 || !s.stopLimits() {
 		return
 	}
 	s.emit(effect.Exit{})
