--- a/decision/claims.go
+++ b/decision/claims.go
@@ -6,13 +6,14 @@
 	"pollensail.dev/decision/idempotency"
 	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/decision/slot"
 )
 
 const (
 	// claimGuard is how old an ask may be when its grant arrives. An owner
 	// answers only while it has more authority than that left, so a grant
 	// that arrives in time was given by the rightful owner.
-	claimGuard = ownerGuard
+	claimGuard = slot.Guard
 	// claimResend is the wait before an unanswered claim is sent again.
 	claimResend = 150 * time.Millisecond
 	// claimSearch is how long a host looks for an owner that answers.
@@ -396,3 +397,10 @@
 func (s *State) dropClaims(slot model.SlotID) {
 	s.sendReplies(s.claims.records.Drop(slot))
 }
+
+// ownedTerm returns this host's term of a slot as far as idempotency records
+// are concerned. It reports false unless this host may decide for the slot.
+func (s *State) ownedTerm(id model.SlotID) (idempotency.Term, bool) {
+	owned, ok := s.slotOwned(id)
+	return idempotency.Term{Began: owned.BeganWall, Continuous: owned.Continuous}, ok
+}
--- a/decision/servers_eject.go
+++ b/decision/servers_eject.go
@@ -23,7 +23,7 @@
 	if !ok || slot != m.Slot {
 		return
 	}
-	term, ok := s.ownsSlot(slot)
+	term, ok := s.coordinatorTerm(slot)
 	if !ok {
 		return
 	}
@@ -68,7 +68,7 @@
 	if !ok {
 		return false
 	}
-	term, ok := s.ownsSlot(slot)
+	term, ok := s.coordinatorTerm(slot)
 	return ok && term == c.Term()
 }
 
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -124,7 +124,7 @@
 	e.Slot = slot
 	e.Service = id
 	e.Domain = s.domain
-	owner, ok := s.slotOwner(slot)
+	owner, ok := s.coordinatorHost(slot)
 	switch {
 	case !ok:
 	case owner.ID == s.self.ID:
