Remember over handovers which idempotency records are missing

Cause: a handover marked its term as continuous although the owner before the giver had been lost. The successor had no record of a key that the lost owner had granted and would have granted it again. The start of the first incomplete term now travels with the records.

--- a/decision/claims.go
+++ b/decision/claims.go
@@ -35,6 +35,10 @@
 	lastAsk uint64
 	asks    map[uint64]model.RequestID // claims without a final answer
 	ends    map[uint64]*pendingEnd     // by ask
+	// since is, for each owned slot, the start of the term from which on the
+	// records are complete; 0 when nothing was ever lost. It outlives a
+	// handover: the next owner misses the same records.
+	since map[model.SlotID]model.WallTime
 }
 
 // pendingEnd is a ClaimEnd that the owner has not acknowledged.
@@ -58,6 +62,7 @@
 		records: idempotency.NewRecords(),
 		asks:    make(map[uint64]model.RequestID),
 		ends:    make(map[uint64]*pendingEnd),
+		since:   make(map[model.SlotID]model.WallTime),
 	}
 }
 
@@ -396,11 +401,22 @@
 // dropClaims forgets the records of a slot that this host owns no longer.
 func (s *State) dropClaims(slot model.SlotID) {
 	s.sendReplies(s.claims.records.Drop(slot))
+	delete(s.claims.since, slot)
 }
 
 // ownedTerm returns this host's term of a slot as far as idempotency records
 // are concerned. It reports false unless this host may decide for the slot.
 func (s *State) ownedTerm(id model.SlotID) (idempotency.Term, bool) {
-	owned, ok := s.slotOwned(id)
-	return idempotency.Term{Began: owned.BeganWall, Continuous: owned.Continuous}, ok
+	_, ok := s.slotOwned(id)
+	since := s.claims.since[id]
+	return idempotency.Term{Began: since, Continuous: since == 0}, ok
+}
+
+// beginClaims starts the records of a slot that was claimed, not handed over.
+// All terms but the first have lost the records before them.
+func (s *State) beginClaims(slot model.SlotID, term uint64) {
+	s.claims.since[slot] = 0
+	if term > 1 {
+		s.claims.since[slot] = s.wall
+	}
 }
--- a/decision/limits_slots.go
+++ b/decision/limits_slots.go
@@ -70,6 +70,7 @@
 		s.restoreClaims(*r.Offer)
 	} else {
 		s.limits.owner.Begin(s.now, r.Slot, r.Term, r.Term == 1)
+		s.beginClaims(r.Slot, r.Term)
 	}
 	s.announce(r.Slot, r.Term)
 	s.notice(effect.NoticeSlotAcquired, slotTerm(r.Slot, r.Term))
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -242,6 +242,9 @@
 	ZeroAge time.Duration
 	Buckets []BucketState
 	Claims  []ClaimState
+	// ClaimsSince is the wall clock at the start of the term from which on
+	// Claims are complete; 0 when nothing was ever lost.
+	ClaimsSince model.WallTime
 }
 
 // BucketState is one client account's token bucket.
