--- /dev/null
+++ b/host/telemetry/log.go
@@ -0,0 +1,53 @@
+package telemetry
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+)
+
+// logBacklog is how many lines may wait for the output.
+const logBacklog = 4096
+
+// Logger is a logger whose lines are written in a goroutine of its own. Lines
+// that the output does not take in time are lost and counted, because a
+// blocked output must not block the control goroutine.
+type Logger struct {
+	log.Logger
+	output *countingWriter
+}
+
+// NewLogger returns a logger of JSON lines. The level is debug, info, warn or
+// error.
+func NewLogger(w io.Writer, level string) *Logger {
+	output := &countingWriter{async: log.AsyncWriter{
+		Writer:        log.IOWriter{Writer: w},
+		ChannelSize:   logBacklog,
+		DiscardOnFull: true,
+	}}
+	return &Logger{
+		Logger: log.Logger{Level: log.ParseLevel(level), Writer: output},
+		output: output,
+	}
+}
+
+// Lost returns how many lines were lost.
+func (l *Logger) Lost() uint64 { return l.output.lost.Load() }
+
+// Close writes what waits. Nothing may be logged afterwards.
+func (l *Logger) Close() error { return l.output.async.Close() }
+
+type countingWriter struct {
+	async log.AsyncWriter
+	lost  atomic.Uint64
+}
+
+// WriteEntry implements log.Writer.
+func (w *countingWriter) WriteEntry(e *log.Entry) (int, error) {
+	n, err := w.async.WriteEntry(e)
+	if err != nil {
+		w.lost.Add(1)
+	}
+	return n, err
+}
--- /dev/null
+++ b/host/telemetry/metrics.go
@@ -0,0 +1,208 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+	"unicode"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/model"
+)
+
+const (
+	// MaxAccounts bounds the client accounts with metrics of their own; at the
+	// target size there are 48,000, which would not fit in a host's memory.
+	MaxAccounts = 512
+	// generationAge is how long a set of accounts is kept once it is full.
+	generationAge = 10 * time.Minute
+	// reportPeriod is the time between two updates of what /metrics shows.
+	reportPeriod = time.Second
+	// otherAccount is the label of accounts beyond MaxAccounts.
+	otherAccount = "other"
+	// openAccount is the label of requests without an account.
+	openAccount = "none"
+)
+
+// latencyBuckets are the upper bounds of the histograms. The bound of 5 ms is
+// near the target for the time that a host adds.
+var latencyBuckets = tally.DurationBuckets{
+	time.Millisecond, 2500 * time.Microsecond, 5 * time.Millisecond,
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2500 * time.Millisecond, 5 * time.Second, 10 * time.Second,
+	30 * time.Second, time.Minute,
+}
+
+// sanitizeOptions keeps label values as they are: accounts are paths, and the
+// reporter's default would replace "/" and so merge accounts.
+var sanitizeOptions = tally.SanitizeOptions{
+	NameCharacters:       tallyprom.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        tallyprom.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: []tally.SanitizeRange{{0, unicode.MaxRune}}},
+	ReplacementCharacter: tallyprom.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
+// Source is a value that another adapter counts. Read is called at each scrape
+// and must be safe for concurrent use.
+type Source struct {
+	Name string // without the prefix "pollensail_"
+	Help string
+	// Gauge is true where the value may fall.
+	Gauge bool
+	Read  func() float64
+}
+
+// metrics holds the current generation of metrics. A Prometheus series cannot
+// be removed from a tally reporter, so when the accounts are full and old, a
+// new generation replaces the whole set; to Prometheus that looks like a
+// restart. The control goroutine is the only writer.
+type metrics struct {
+	sources []Source
+	current atomic.Pointer[generation]
+}
+
+func newMetrics(sources []Source) *metrics {
+	m := &metrics{sources: sources}
+	m.current.Store(newGeneration(sources))
+	return m
+}
+
+func (m *metrics) close() error { return m.current.Load().closer.Close() }
+
+func (m *metrics) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.current.Load().handler.ServeHTTP(w, r)
+	})
+}
+
+func (m *metrics) record(r model.Outcome, latency time.Duration) {
+	g := m.current.Load()
+	if g.refuses(r.Account) && time.Since(g.started) > generationAge {
+		go g.closer.Close()
+		g = newGeneration(m.sources)
+		m.current.Store(g)
+	}
+	g.record(r, latency)
+}
+
+func (m *metrics) notice(kind effect.NoticeKind) { m.current.Load().notice(kind) }
+
+// generation is the metrics of one set of accounts.
+type generation struct {
+	started    time.Time
+	scope      tally.Scope
+	closer     io.Closer
+	handler    http.Handler
+	accounts   map[model.AccountID]struct{}
+	histograms map[histogramKey]tally.Histogram
+	counters   map[counterKey]tally.Counter
+	notices    map[effect.NoticeKind]tally.Counter
+}
+
+type histogramKey struct {
+	account string
+	class   model.Class
+}
+
+type counterKey struct {
+	account string
+	result  model.Result
+	reason  model.Reason
+	verdict model.Verdict
+}
+
+func newGeneration(sources []Source) *generation {
+	registry := prometheus.NewRegistry()
+	for _, s := range sources {
+		registry.MustRegister(s.collector())
+	}
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "pollensail",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &sanitizeOptions,
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return &generation{
+		started:    time.Now(),
+		scope:      scope,
+		closer:     closer,
+		handler:    reporter.HTTPHandler(),
+		accounts:   make(map[model.AccountID]struct{}),
+		histograms: make(map[histogramKey]tally.Histogram),
+		counters:   make(map[counterKey]tally.Counter),
+		notices:    make(map[effect.NoticeKind]tally.Counter),
+	}
+}
+
+func (s Source) collector() prometheus.Collector {
+	if s.Gauge {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pollensail_" + s.Name, Help: s.Help}, s.Read)
+	}
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pollensail_" + s.Name, Help: s.Help}, s.Read)
+}
+
+// refuses reports whether the account has no place in this generation.
+func (g *generation) refuses(id model.AccountID) bool {
+	_, known := g.accounts[id]
+	return id != "" && !known && len(g.accounts) >= MaxAccounts
+}
+
+// label returns the label of an account and gives it a place where there is
+// one.
+func (g *generation) label(id model.AccountID) string {
+	if id == "" {
+		return openAccount
+	}
+	if g.refuses(id) {
+		return otherAccount
+	}
+	g.accounts[id] = struct{}{}
+	return string(id)
+}
+
+func (g *generation) record(r model.Outcome, latency time.Duration) {
+	account := g.label(r.Account)
+	g.histogram(histogramKey{account, r.Class}).RecordDuration(latency)
+	g.counter(counterKey{account, r.Result, r.Reason, r.Verdict}).Inc(1)
+}
+
+func (g *generation) histogram(k histogramKey) tally.Histogram {
+	h, ok := g.histograms[k]
+	if !ok {
+		tags := map[string]string{"account": k.account, "class": k.class.String()}
+		h = g.scope.Tagged(tags).Histogram("request_seconds", latencyBuckets)
+		g.histograms[k] = h
+	}
+	return h
+}
+
+func (g *generation) counter(k counterKey) tally.Counter {
+	c, ok := g.counters[k]
+	if !ok {
+		c = g.scope.Tagged(map[string]string{
+			"account": k.account,
+			"result":  string(k.result),
+			"reason":  string(k.reason),
+			"verdict": k.verdict.String(),
+		}).Counter("requests_total")
+		g.counters[k] = c
+	}
+	return c
+}
+
+func (g *generation) notice(kind effect.NoticeKind) {
+	c, ok := g.notices[kind]
+	if !ok {
+		c = g.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("notices_total")
+		g.notices[kind] = c
+	}
+	c.Inc(1)
+}
--- /dev/null
+++ b/host/telemetry/observer.go
@@ -0,0 +1,70 @@
+package telemetry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/model"
+)
+
+// Observer takes the reducer's effects for operators. It implements
+// control.Observer. Make it with New.
+type Observer struct {
+	log     *log.Logger
+	metrics *metrics
+	ready   atomic.Bool
+	queries queries
+}
+
+// New returns an observer that is not ready. Close it at the end.
+func New(logger *log.Logger, sources ...Source) *Observer {
+	return &Observer{
+		log:     logger,
+		metrics: newMetrics(sources),
+		queries: queries{waiting: make(map[uint64]chan effect.Status)},
+	}
+}
+
+// Close ends the reports of metrics.
+func (o *Observer) Close() error { return o.metrics.close() }
+
+// Observe takes Record, Notice, SetReady and ReportStatus. Only the control
+// goroutine may call it.
+func (o *Observer) Observe(f effect.Effect) {
+	switch f := f.(type) {
+	case effect.Record:
+		o.record(f.Outcome)
+	case effect.Notice:
+		o.notice(f)
+	case effect.SetReady:
+		o.ready.Store(f.Ready)
+	case effect.ReportStatus:
+		o.queries.answer(f)
+	}
+}
+
+func (o *Observer) record(r model.Outcome) {
+	latency := time.Duration(r.Latency)
+	o.metrics.record(r, latency)
+	o.log.Info().
+		Uint64("request", uint64(r.Request)).
+		Str("account", string(r.Account)).
+		Str("route", string(r.Route)).
+		Str("service", string(r.Service)).
+		Str("server", string(r.Server)).
+		Str("class", r.Class.String()).
+		Str("verdict", r.Verdict.String()).
+		Str("result", string(r.Result)).
+		Str("reason", string(r.Reason)).
+		Int("attempts", r.Attempts).
+		Float64("latency_ms", float64(latency.Microseconds())/1000).
+		Msg("request")
+}
+
+func (o *Observer) notice(n effect.Notice) {
+	o.metrics.notice(n.Kind)
+	o.log.Warn().Str("kind", string(n.Kind)).Str("detail", n.Detail).Msg("notice")
+}
--- /dev/null
+++ b/host/telemetry/operator.go
@@ -0,0 +1,146 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/model"
+)
+
+// The bounds of the operator port.
+const (
+	operatorTimeout = 10 * time.Second
+	operatorHeader  = 16 << 10 // bytes
+	// operatorConnections bounds what probes and scrapes may hold open.
+	operatorConnections = 64
+)
+
+// Serve answers on the operator port until ctx ends.
+func (o *Observer) Serve(ctx context.Context, listener net.Listener, loop Loop) error {
+	server := &http.Server{
+		Handler:           o.Handler(loop),
+		ReadHeaderTimeout: operatorTimeout,
+		WriteTimeout:      operatorTimeout,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    operatorHeader,
+	}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	err := server.Serve(limit(listener, operatorConnections))
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return err
+}
+
+// Handler returns the handler of the operator port.
+func (o *Observer) Handler(loop Loop) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { o.serveLive(w, r, loop) })
+	mux.HandleFunc("GET /readyz", o.serveReady)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) { o.serveStatus(w, r, loop) })
+	mux.Handle("GET /metrics", o.metrics.handler())
+	return mux
+}
+
+// serveLive succeeds while the control goroutine takes events.
+func (o *Observer) serveLive(w http.ResponseWriter, r *http.Request, loop Loop) {
+	if _, err := o.queries.ask(r.Context(), loop); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("alive\n"))
+}
+
+func (o *Observer) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !o.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
+
+func (o *Observer) serveStatus(w http.ResponseWriter, r *http.Request, loop Loop) {
+	status, err := o.queries.ask(r.Context(), loop)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	encoder.Encode(newStatus(status))
+}
+
+// Status is the JSON of /status.
+type Status struct {
+	Host        string         `json:"host"`
+	Incarnation uint64         `json:"incarnation"`
+	Domain      string         `json:"domain"`
+	Authority   string         `json:"authority"`
+	Version     uint64         `json:"version"`
+	Ready       bool           `json:"ready"`
+	InFlight    int            `json:"in_flight"`
+	Slots       []SlotStatus   `json:"slots"`
+	Servers     []ServerStatus `json:"servers"`
+	Refusals    []RefusalCount `json:"refusals"`
+}
+
+// SlotStatus is a slot that the host owns.
+type SlotStatus struct {
+	Domain      string `json:"domain"`
+	Index       int    `json:"index"`
+	Term        uint64 `json:"term"`
+	ExpiresInMS int64  `json:"expires_in_ms"`
+}
+
+// ServerStatus is a backend server that is not in normal use.
+type ServerStatus struct {
+	Service string `json:"service"`
+	Server  string `json:"server"`
+	State   string `json:"state"`
+}
+
+// RefusalCount counts refusals since the start of the process.
+type RefusalCount struct {
+	Account string `json:"account"`
+	Reason  string `json:"reason"`
+	Count   uint64 `json:"count"`
+}
+
+func newStatus(s effect.Status) Status {
+	status := Status{
+		Host:        string(s.Host.ID),
+		Incarnation: s.Host.Incarnation,
+		Domain:      string(s.Domain),
+		Authority:   s.Authority,
+		Version:     s.Version,
+		Ready:       s.Ready,
+		InFlight:    s.InFlight,
+		Slots:       make([]SlotStatus, 0, len(s.Slots)),
+		Servers:     make([]ServerStatus, 0, len(s.Servers)),
+		Refusals:    make([]RefusalCount, 0, len(s.Refusals)),
+	}
+	for _, slot := range s.Slots {
+		status.Slots = append(status.Slots, SlotStatus{
+			Domain:      string(slot.Slot.Domain),
+			Index:       slot.Slot.Index,
+			Term:        slot.Term,
+			ExpiresInMS: milliseconds(slot.ExpiresIn),
+		})
+	}
+	for _, server := range s.Servers {
+		status.Servers = append(status.Servers, ServerStatus{string(server.Service), string(server.Server), server.State})
+	}
+	for _, r := range s.Refusals {
+		status.Refusals = append(status.Refusals, RefusalCount{string(r.Account), string(r.Reason), r.Count})
+	}
+	return status
+}
+
+func milliseconds(d model.Instant) int64 { return time.Duration(d).Milliseconds() }
--- /dev/null
+++ b/host/telemetry/telemetry_test.go
@@ -0,0 +1,160 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/model"
+)
+
+// loopFunc is a control loop.
+type loopFunc func(event.Body) bool
+
+func (f loopFunc) Post(b event.Body) bool { return f(b) }
+
+func get(o *Observer, loop Loop, path string) (int, string) {
+	w := httptest.NewRecorder()
+	o.Handler(loop).ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	return w.Code, w.Body.String()
+}
+
+func newObserver(c *qt.C, sources ...Source) (*Observer, *bytes.Buffer, func()) {
+	var output bytes.Buffer
+	logger := NewLogger(&output, "info")
+	o := New(&logger.Logger, sources...)
+	c.Cleanup(func() { o.Close() })
+	return o, &output, func() { c.Assert(logger.Close(), qt.IsNil) }
+}
+
+var outcome = model.Outcome{
+	Request: 7, Account: "himal/north", Route: "rings", Service: "filing", Server: "127.0.0.1:1",
+	Class: model.Mutation, Verdict: model.Ran, Result: model.Delivered, Attempts: 1,
+	Latency: model.Instant(1500 * time.Microsecond),
+}
+
+// TestRecord guards against outcomes that are missing from the log or the
+// metrics.
+func TestRecord(t *testing.T) {
+	c := qt.New(t)
+	source := Source{Name: "peer_bytes_total", Read: func() float64 { return 42 }}
+	o, output, flush := newObserver(c, source)
+	o.Observe(effect.Record{Outcome: outcome})
+	o.Observe(effect.Notice{Kind: effect.NoticeEjected, Detail: "127.0.0.1:1"})
+	c.Assert(o.Close(), qt.IsNil) // reports at once
+	flush()
+
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	c.Assert(lines, qt.HasLen, 2)
+	var line map[string]any
+	c.Assert(json.Unmarshal([]byte(lines[0]), &line), qt.IsNil)
+	delete(line, "time")
+	c.Assert(line, qt.DeepEquals, map[string]any{
+		"level": "info", "message": "request", "request": 7.0, "account": "himal/north",
+		"route": "rings", "service": "filing", "server": "127.0.0.1:1", "class": "mutation",
+		"verdict": "ran", "result": "delivered", "reason": "", "attempts": 1.0, "latency_ms": 1.5,
+	})
+	c.Assert(lines[1], qt.Contains, `"kind":"server_ejected"`)
+
+	_, text := get(o, nil, "/metrics")
+	for _, want := range []string{
+		`pollensail_request_seconds_bucket{account="himal/north",class="mutation",le="0.001"} 0`,
+		`pollensail_request_seconds_bucket{account="himal/north",class="mutation",le="0.0025"} 1`,
+		`pollensail_requests_total{account="himal/north",reason="",result="delivered",verdict="ran"} 1`,
+		`pollensail_notices_total{kind="server_ejected"} 1`,
+		`pollensail_peer_bytes_total 42`,
+	} {
+		c.Check(text, qt.Contains, want)
+	}
+}
+
+// TestAccountsBounded guards against metrics that grow with the number of
+// client accounts.
+func TestAccountsBounded(t *testing.T) {
+	c := qt.New(t)
+	o, _, _ := newObserver(c)
+	record := func(i int) {
+		r := outcome
+		r.Account = model.AccountID(fmt.Sprint("a", i))
+		o.metrics.record(r, time.Millisecond)
+	}
+	for i := range 2 * MaxAccounts {
+		record(i)
+	}
+	g := o.metrics.current.Load()
+	c.Assert(g.accounts, qt.HasLen, MaxAccounts)
+	c.Assert(g.histograms, qt.HasLen, MaxAccounts+1)
+
+	// Once the set is old, an account without a place starts a new one.
+	g.started = g.started.Add(-2 * generationAge)
+	record(1)
+	c.Assert(o.metrics.current.Load(), qt.Equals, g)
+	record(2 * MaxAccounts)
+	c.Assert(o.metrics.current.Load().accounts, qt.HasLen, 1)
+}
+
+// TestOperatorPort guards against a host that looks ready or alive when it is
+// not.
+func TestOperatorPort(t *testing.T) {
+	c := qt.New(t)
+	o, _, _ := newObserver(c)
+	loop := loopFunc(func(b event.Body) bool {
+		o.Observe(effect.ReportStatus{
+			Query: b.(event.StatusRequested).Query,
+			Status: effect.Status{
+				Host: model.HostRef{ID: "h", Incarnation: 1}, Authority: "connected", Version: 9,
+				Slots: []effect.SlotStatus{{Slot: model.SlotID{Domain: "d", Index: 2}, Term: 3, ExpiresIn: -5e6}},
+			},
+		})
+		return true
+	})
+	code, _ := get(o, loop, "/readyz")
+	c.Assert(code, qt.Equals, http.StatusServiceUnavailable)
+	o.Observe(effect.SetReady{Ready: true})
+	code, _ = get(o, loop, "/readyz")
+	c.Assert(code, qt.Equals, http.StatusOK)
+	code, _ = get(o, loop, "/livez")
+	c.Assert(code, qt.Equals, http.StatusOK)
+
+	code, text := get(o, loop, "/status")
+	c.Assert(code, qt.Equals, http.StatusOK)
+	var status Status
+	c.Assert(json.Unmarshal([]byte(text), &status), qt.IsNil)
+	c.Assert(status, qt.DeepEquals, Status{
+		Host: "h", Incarnation: 1, Authority: "connected", Version: 9,
+		Slots:   []SlotStatus{{Domain: "d", Index: 2, Term: 3, ExpiresInMS: -5}},
+		Servers: []ServerStatus{}, Refusals: []RefusalCount{},
+	})
+
+	stuck := loopFunc(func(event.Body) bool { return true })
+	code, _ = get(o, stuck, "/livez")
+	c.Assert(code, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// blockedWriter is an output that takes nothing until it is released.
+type blockedWriter chan struct{}
+
+func (w blockedWriter) Write(p []byte) (int, error) { <-w; return len(p), nil }
+
+// TestBlockedOutput guards against a log output that blocks the control
+// goroutine.
+func TestBlockedOutput(t *testing.T) {
+	c := qt.New(t)
+	w := make(blockedWriter)
+	logger := NewLogger(w, "info")
+	for range 2 * logBacklog {
+		logger.Info().Msg("line")
+	}
+	c.Assert(logger.Lost() > 0, qt.IsTrue)
+	close(w)
+	c.Assert(logger.Close(), qt.IsNil)
+}
