--- a/host/frontend/callerconn.go
+++ b/host/frontend/callerconn.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -34,6 +35,7 @@
 	raw          syscall.RawConn
 	writeTimeout time.Duration
 	failed       bool // a write failed; no later answer can be whole
+	lingering    bool // the request was not read whole
 	delivery     *delivery
 }
 
@@ -64,6 +66,25 @@
 // SetWriteDeadline does nothing, because Write sets its own.
 func (c *callerConn) SetWriteDeadline(time.Time) error { return nil }
 
+// Limits of what is read of a request after its refusal.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// Close implements net.Conn. After a refusal it reads on for a while: closing
+// a connection with unread bytes resets it, and the caller could lose the
+// answer.
+func (c *callerConn) Close() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if c.lingering && ok {
+		_ = tcp.CloseWrite()
+		_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
+	}
+	return c.Conn.Close()
+}
+
 // connState ends a delivery when the connection turns idle, which is after the
 // answer was flushed, or is closed.
 func connState(c net.Conn, state fasthttp.ConnState) {
--- a/host/frontend/forward.go
+++ b/host/frontend/forward.go
@@ -12,7 +12,7 @@
 	in, out := &x.ctx.Request, x.forward
 	hidden := secret{key}
 	body := in.Body()
-	if hidden.isIn(t.path) || hidden.isIn(body) {
+	if hidden.isInFixedPart(in, t.path) || hidden.isIn(body) {
 		return malformed("the client account key may only be in " + wire.Authorization + " or " + wire.APIKey)
 	}
 	out.Header.SetNoDefaultContentType(true)
@@ -23,6 +23,15 @@
 	return nil
 }
 
+// isInFixedPart reports whether the key is in a part of the request that
+// cannot be left out.
+func (s secret) isInFixedPart(r *fasthttp.Request, path []byte) bool {
+	return s.isIn(path) ||
+		s.isIn(r.Header.Host()) ||
+		s.isInName(r.Header.Method()) ||
+		s.isIn(r.Header.Peek(wire.IdempotencyKey))
+}
+
 // forwardTarget returns the target without the query parameters that show the
 // key.
 func forwardTarget(t target, hidden secret) []byte {
--- a/host/frontend/key.go
+++ b/host/frontend/key.go
@@ -8,38 +8,51 @@
 	"pollensail.dev/host/wire"
 )
 
-var bearer = []byte("Bearer ")
-
 // readKey returns the client account key, nil where there is none. The result
 // refers to the header.
 func readKey(h *fasthttp.RequestHeader) ([]byte, *badRequest) {
-	var key, authorization []byte
+	var c credentials
 	for name, value := range h.All() {
-		candidate := value
 		switch {
 		case wire.EqualFold(name, wire.APIKey):
+			c.add(value)
 		case wire.EqualFold(name, wire.Authorization):
-			if authorization != nil && !bytes.Equal(authorization, value) {
-				return nil, malformed("Authorization is given twice")
-			}
-			authorization = value
-			if len(value) < len(bearer) || !bytes.EqualFold(value[:len(bearer)], bearer) {
-				continue
-			}
-			candidate = value[len(bearer):]
-		default:
-			continue
-		}
-		candidate = bytes.TrimSpace(candidate)
-		if len(candidate) == 0 {
-			return nil, malformed("the client account key is empty")
-		}
-		if key != nil && !bytes.Equal(key, candidate) {
-			return nil, malformed("two client account keys are given")
+			c.addAuthorization(value)
 		}
-		key = candidate
 	}
-	return key, nil
+	return c.key, c.bad
+}
+
+// credentials gathers what a request carries as keys. All of it has to be the
+// same.
+type credentials struct {
+	key           []byte
+	authorization []byte
+	bad           *badRequest
+}
+
+func (c *credentials) addAuthorization(value []byte) {
+	if c.authorization != nil && !bytes.Equal(c.authorization, value) {
+		c.bad = malformed("two Authorization fields are given")
+		return
+	}
+	c.authorization = value
+	scheme, token, _ := bytes.Cut(value, []byte{' '})
+	if wire.EqualFold(scheme, "Bearer") {
+		c.add(token)
+	}
+}
+
+func (c *credentials) add(key []byte) {
+	key = bytes.TrimSpace(key)
+	switch {
+	case len(key) == 0:
+		c.bad = malformed("the client account key is empty")
+	case c.key != nil && !bytes.Equal(c.key, key):
+		c.bad = malformed("two client account keys are given")
+	default:
+		c.key = key
+	}
 }
 
 // secret finds a client account key in what is passed on to servers. The zero
--- /dev/null
+++ b/host/frontend/malformed_test.go
@@ -0,0 +1,80 @@
+package frontend
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/host/wire"
+)
+
+// TestMalformed guards against requests with more than one reading, and
+// against refusals that do not say that nothing ran.
+func TestMalformed(t *testing.T) {
+	c := qt.New(t)
+	server, h := startPair(c, hello)
+	const get, post = "GET /a HTTP/1.1\r\nHost: h\r\n", "POST /a HTTP/1.1\r\nHost: h\r\n"
+	tests := []struct {
+		name    string
+		request string
+		status  int
+	}{
+		{"length and chunks", post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", 400},
+		{"chunks and length", post + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n1\r\na\r\n0\r\n\r\n", 400},
+		{"two lengths", post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		{"two lengths alike", post + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", 400},
+		{"length list", post + "Content-Length: 1, 1\r\n\r\na", 400},
+		{"length with sign", post + "Content-Length: +1\r\n\r\na", 400},
+		{"length negative", post + "Content-Length: -1\r\n\r\n", 400},
+		{"length too great", post + "Content-Length: 99999999999999999999\r\n\r\n", 400},
+		{"identity encoding", post + "Transfer-Encoding: identity\r\n\r\n", 400},
+		{"other encoding", post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+		{"space before the colon", post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400},
+		{"chunk size invalid", post + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 400},
+		{"no host", "GET /a HTTP/1.1\r\n\r\n", 400},
+		{"two hosts", get + "Host: i\r\n\r\n", 400},
+		{"old protocol", "GET /a HTTP/1.0\r\nHost: h\r\n\r\n", 400},
+		{"no protocol", "HELO there\r\n\r\n", 400},
+		{"null in a field", get + "X: a\x00b\r\n\r\n", 400},
+		{"authority as target", "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"star as target", "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"whole URI as target", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"dot segments", "GET /a/../b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"dot segments encoded", "GET /a/%2e%2E/b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"slash encoded", "GET /a%2fb HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"empty segment", "GET /a//b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"encoding cut", "GET /a%2 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"fragment", "GET /a#b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"backslash", "GET /a\\b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"timeout without unit", get + "Pollensail-Timeout: 800\r\n\r\n", 400},
+		{"timeout negative", get + "Pollensail-Timeout: -1s\r\n\r\n", 400},
+		{"timeout zero", get + "Pollensail-Timeout: 0s\r\n\r\n", 400},
+		{"timeout absurd", get + "Pollensail-Timeout: 9000h\r\n\r\n", 400},
+		{"two timeouts", get + "Pollensail-Timeout: 1s\r\nPollensail-Timeout: 2s\r\n\r\n", 400},
+		{"idempotency key empty", get + "Idempotency-Key: \"\"\r\n\r\n", 400},
+		{"idempotency key too long", get + "Idempotency-Key: " + strings.Repeat("k", 300) + "\r\n\r\n", 400},
+		{"two idempotency keys", get + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", 400},
+		{"header too large", get + "X: " + strings.Repeat("x", 9<<10) + "\r\n\r\n", 431},
+		{"body too large", post + "Content-Length: 1048577\r\n\r\n", 413},
+		{"chunks too large", post + "Transfer-Encoding: chunked\r\n\r\n100001\r\n" + strings.Repeat("x", 1<<20) + "x\r\n", 413},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, in := dial(c, h.address)
+			// The host may answer and close before it read everything.
+			_, _ = io.WriteString(conn, test.request)
+			response, body := readAnswer(c, in, "GET")
+			c.Check(response.StatusCode, qt.Equals, test.status)
+			c.Check(response.Close, qt.IsTrue)
+			c.Check(response.Header.Get(wire.Verdict), qt.Equals, "not-run")
+			c.Check(response.Header.Get(wire.RequestID), qt.Not(qt.Equals), "")
+			c.Check(json.Valid([]byte(body)), qt.IsTrue)
+			c.Check(server.take(), qt.Equals, "")
+			c.Check(h.takeArrived(), qt.HasLen, 0)
+		})
+	}
+}
--- a/host/frontend/refusal.go
+++ b/host/frontend/refusal.go
@@ -99,6 +99,9 @@
 func (x *exchange) refuseUnread(bad *badRequest) {
 	x.writeRefusal(bad.reason, model.NotRun, answerTo{bad.status, bad.message})
 	x.ctx.SetConnectionClose()
+	if caller, ok := x.ctx.Conn().(*callerConn); ok {
+		caller.lingering = true
+	}
 }
 
 func (x *exchange) writeRefusal(reason model.Reason, verdict model.Verdict, answer answerTo) {
