--- a/decision/config.go
+++ b/decision/config.go
@@ -60,7 +60,10 @@
 
 // ownsSlot0 reports whether this host owns slot 0 of its own failure domain.
 // The owner watches the root in the store.
-func (s *State) ownsSlot0() bool { return true }
+func (s *State) ownsSlot0() bool {
+	_, ok := s.slotOwned(model.SlotID{Domain: s.domain})
+	return ok
+}
 
 func (s *State) readRoot() {
 	if s.config.storeBusy {
