--- a/decision/config.go
+++ b/decision/config.go
@@ -42,7 +42,8 @@
 	asked    int                     // index in peers of the last one asked for its version
 
 	storeVersion uint64 // of the last root that the store answered
-	storeBusy    bool   // a read or a watch of the root waits for its answer
+	isReading    bool   // a read of the root waits for its answer
+	isWatching   bool   // a watch of the root waits for its answer
 	storeDown    bool   // the last call for the root failed
 }
 
@@ -66,24 +67,27 @@
 }
 
 func (s *State) readRoot() {
-	if s.config.storeBusy {
+	if s.config.isReading {
 		return
 	}
-	s.config.storeBusy = true
+	s.config.isReading = true
 	s.emit(effect.ReadRoot{})
 }
 
 func (s *State) watchRoot() {
-	if s.config.storeBusy {
+	if s.config.isWatching {
 		return
 	}
-	s.config.storeBusy = true
+	s.config.isWatching = true
 	s.emit(effect.WatchRoot{After: s.config.storeVersion})
 }
 
+// onRootRead takes the answer of a read or a watch; which one it is does not
+// matter, because a new watch replaces the one before.
 func (s *State) onRootRead(e event.RootRead) {
 	c := &s.config
-	c.storeBusy = false
+	c.isReading = false
+	c.isWatching = false
 	c.storeDown = e.Error != event.StoreOK
 	if c.storeDown {
 		s.askVersions()
--- a/host/control/loop.go
+++ b/host/control/loop.go
@@ -26,8 +26,8 @@
 // is dropped.
 type Peers interface{ Send(effect.Send) }
 
-// Store carries out ReadSlot, SwapSlot, ReadRoot, WatchRoot and ReadShards and
-// posts the answers.
+// Store carries out ReadSlot, SwapSlot, ReadRoot, WatchRoot, ReadShards and
+// DecodeShards and posts the answers.
 type Store interface{ Call(effect.Effect) }
 
 // Observer takes what operators see: Record, Notice, SetReady and
@@ -140,7 +140,7 @@
 		l.adapters.Peers.Send(f)
 	case effect.SetTimer:
 		l.timer.Reset(time.Until(l.Time(f.At)))
-	case effect.ReadSlot, effect.SwapSlot, effect.ReadRoot, effect.WatchRoot, effect.ReadShards:
+	case effect.ReadSlot, effect.SwapSlot, effect.ReadRoot, effect.WatchRoot, effect.ReadShards, effect.DecodeShards:
 		l.adapters.Store.Call(f)
 	case effect.Record, effect.Notice, effect.SetReady, effect.ReportStatus:
 		l.adapters.Observer.Observe(f)
--- a/host/store/caller.go
+++ b/host/store/caller.go
@@ -66,6 +66,8 @@
 		go c.watchRoot(c.newWatch(), f)
 	case effect.ReadShards:
 		go c.readShards(f)
+	case effect.DecodeShards:
+		go c.decodeShards(f)
 	}
 }
 
@@ -139,6 +141,17 @@
 	c.postShards(shards, errs)
 }
 
+// decodeShards decodes shards that the reducer holds, away from the control
+// goroutine.
+func (c *Caller) decodeShards(f effect.DecodeShards) {
+	shards := make([]configuration.Shard, len(f.Shards))
+	errs := make([]error, len(f.Shards))
+	for i, shard := range f.Shards {
+		shards[i], errs[i] = DecodeShard(shard.Hash, shard.Encoded)
+	}
+	c.postShards(shards, errs)
+}
+
 func (c *Caller) postShards(shards []configuration.Shard, errs []error) {
 	answer := event.ShardsRead{}
 	for i, err := range errs {
