--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -104,7 +104,7 @@
 func (s *State) followPeers() {
 	c := &s.config
 	switch {
-	case c.newest() == 0, c.root.Version == 0 && c.storeDown:
+	case c.root.Version == 0 && c.storeDown:
 		s.askVersions()
 	case c.seen > c.newest():
 		for _, peer := range s.randomPeers(offerFanout) {
