--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -150,6 +150,10 @@
 	Count   uint64
 }
 
+// CloseTraffic closes the callers' port: requests in flight are finished, no
+// new ones are taken. It answers with event.TrafficClosed.
+type CloseTraffic struct{}
+
 // Exit ends the process: the planned stop is complete.
 type Exit struct{}
 
@@ -168,4 +172,5 @@
 func (Notice) effect()       {}
 func (SetReady) effect()     {}
 func (ReportStatus) effect() {}
+func (CloseTraffic) effect() {}
 func (Exit) effect()         {}
--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -117,7 +117,14 @@
 }
 
 // StopRequested is the signal for a planned stop.
-type StopRequested struct{}
+type StopRequested struct {
+	// BalancerDelay is how long the platform's balancer may keep sending
+	// requests after /readyz fails. 0: decision.DefaultBalancerDelay.
+	BalancerDelay time.Duration
+}
+
+// TrafficClosed answers effect.CloseTraffic: every caller has its answer.
+type TrafficClosed struct{}
 
 // StatusRequested asks for effect.ReportStatus.
 type StatusRequested struct{ Query uint64 }
@@ -134,4 +141,5 @@
 func (RootRead) event()        {}
 func (ShardsRead) event()      {}
 func (StopRequested) event()   {}
+func (TrafficClosed) event()   {}
 func (StatusRequested) event() {}
--- a/decision/fleettest/host.go
+++ b/decision/fleettest/host.go
@@ -110,6 +110,8 @@
 		h.fleet.Outcomes = append(h.fleet.Outcomes, Outcome{h.fleet.Now, h.Ref.ID, f.Outcome})
 	case effect.Notice:
 		h.fleet.Notices = append(h.fleet.Notices, Notice{h.fleet.Now, h.Ref, f})
+	case effect.CloseTraffic:
+		h.after(0, func() { h.Post(event.TrafficClosed{}) })
 	case effect.Exit:
 		h.alive = false
 	}
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -48,7 +48,9 @@
 	case event.ShardsRead:
 		s.onShardsRead(b)
 	case event.StopRequested:
-		s.onStopRequested()
+		s.onStopRequested(b)
+	case event.TrafficClosed:
+		s.onTrafficClosed()
 	case event.StatusRequested:
 		s.emit(effect.ReportStatus{Query: b.Query, Status: s.status()})
 	}
--- a/decision/state.go
+++ b/decision/state.go
@@ -28,7 +28,7 @@
 	refusals map[refusalKey]uint64
 	ready    bool
 	stopping bool
-	drained  bool // the balancer's delay after the stop request has passed
+	drained  bool // the callers' port is closed
 
 	config  configState
 	limits  limitState
--- a/decision/stop.go
+++ b/decision/stop.go
@@ -4,30 +4,38 @@
 	"time"
 
 	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
 )
 
-// balancerDelay is how long the platform's balancer may keep sending requests
-// after /readyz fails.
-const balancerDelay = 5 * time.Second
+// DefaultBalancerDelay is how long a planned stop waits for the platform's
+// balancer where the settings do not say.
+const DefaultBalancerDelay = 5 * time.Second
 
 // onStopRequested begins a planned stop: readiness fails at once, requests go
 // on being served until the balancer has moved away.
-func (s *State) onStopRequested() {
+func (s *State) onStopRequested(e event.StopRequested) {
 	if s.stopping {
 		return
 	}
 	s.stopping = true
 	s.setReady(false)
-	s.timers.Set(timerKey{kind: timerStop}, s.now.Add(balancerDelay))
+	delay := e.BalancerDelay
+	if delay <= 0 {
+		delay = DefaultBalancerDelay
+	}
+	s.timers.Set(timerKey{kind: timerStop}, s.now.Add(delay))
 }
 
-func (s *State) onStopTimer() {
+// onStopTimer closes the callers' port once the balancer has moved away.
+func (s *State) onStopTimer() { s.emit(effect.CloseTraffic{}) }
+
+func (s *State) onTrafficClosed() {
 	s.drained = true
 	s.checkStopped()
 }
 
-// checkStopped ends the process when the balancer's delay has passed, no
-// request is in flight and every slot is handed over.
+// checkStopped ends the process when the callers' port is closed, no request
+// is in flight and every slot is handed over.
 func (s *State) checkStopped() {
 	if !s.drained || len(s.requests) > 0 || len(s.claims.ends) > 0 || !s.stopLimits() {
 		return
--- /dev/null
+++ b/demo/fleet.sh
@@ -0,0 +1,94 @@
+# Functions that start a small fleet on loopback. Sourced by demo/run.
+# Needs bin/pollensail, bin/pollenctl and bin/standin. Uses the variables DIR
+# (a scratch folder) and sets STORE.
+
+PIDS=()
+
+# spawn NAME COMMAND...: starts a process in the background, output to DIR/NAME.log.
+spawn() {
+  local name=$1
+  shift
+  "$@" >"$DIR/$name.log" 2>&1 &
+  PIDS+=($!)
+  eval "PID_${name//-/_}=$!"
+}
+
+# pid NAME: the process id of a spawned process.
+pid() { eval "echo \$PID_${1//-/_}"; }
+
+# wait_for SECONDS COMMAND...: repeats a command until it succeeds.
+wait_for() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if ((SECONDS >= end)); then
+      echo "demo: timed out: $*" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# announced NAME KEY: an address that a process wrote down at its start.
+announced() { sed -n "s/^$2=//p" "$DIR/$1.addr"; }
+
+has_announced() { test -s "$DIR/$1.addr"; }
+
+start_store() {
+  spawn store bin/standin store --address 127.0.0.1:0 --announce "$DIR/store.addr" --lifetime 5m
+  wait_for 5 has_announced store
+  STORE=$(announced store store)
+  export POLLENSAIL_STORE=$STORE
+}
+
+# start_server NAME KIND SERVICE DOMAIN [FLAGS...]: a backend server, listed by
+# the platform.
+start_server() {
+  local name=$1 kind=$2 service=$3 domain=$4
+  shift 4
+  spawn "$name" bin/standin backend --name "$name" --kind "$kind" --announce "$DIR/$name.addr" --lifetime 5m "$@"
+  wait_for 5 has_announced "$name"
+  local address
+  address=$(announced "$name" work)
+  list_host "$address" "{\"id\":\"$address\",\"role\":\"backend\",\"domain\":\"$domain\",\"service\":\"$service\"}"
+}
+
+list_host() { curl -sf -X PUT "http://$STORE/v1/hosts/$1" -d "$2" >/dev/null; }
+
+# free_ports N: ports of 127.0.0.1 that were free a moment ago.
+free_ports() { bin/standin ports "$1"; }
+
+# start_host NAME DOMAIN: an entry host, listed by the platform. Writes its
+# callers' and operators' addresses to DIR/NAME.addr.
+start_host() {
+  local name=$1 domain=$2 caller peer operator
+  read -r caller peer operator < <(free_ports 3 | tr '\n' ' ')
+  cat >"$DIR/$name.toml" <<EOF
+host = "$name"
+domain = "$domain"
+
+[listen]
+caller = "$caller"
+peer = "$peer"
+operator = "$operator"
+
+[store]
+address = "$STORE"
+
+[tls]
+insecure = true
+
+[stop]
+balancer_delay = "500ms"
+EOF
+  printf 'caller=%s\npeer=%s\noperator=%s\n' "$caller" "$peer" "$operator" >"$DIR/$name.addr"
+  list_host "$name" "{\"id\":\"$name\",\"role\":\"entry\",\"domain\":\"$domain\",\"peer\":\"$peer\",\"operator\":\"$operator\"}"
+  spawn "$name" bin/pollensail --settings "$DIR/$name.toml"
+}
+
+is_ready() { curl -sf "http://$(announced "$1" operator)/readyz"; }
+
+stop_all() {
+  kill "${PIDS[@]}" 2>/dev/null
+  wait 2>/dev/null
+}
--- a/host/cmd/pollensail/main.go
+++ b/host/cmd/pollensail/main.go
@@ -1,4 +1,77 @@
 // Command pollensail is the process of an entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"pollensail.dev/host/process"
+	"pollensail.dev/host/settings"
+	"pollensail.dev/host/telemetry"
+)
+
+func main() {
+	err := command().Execute()
+	var broken *settings.Error
+	switch {
+	case errors.As(err, &broken):
+		os.Exit(settings.ExitCode)
+	case err != nil:
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "pollensail --settings FILE",
+		Short: "Serve callers as an entry host of the fleet",
+		Long: `Serves callers by the operators' tree of settings until SIGTERM or SIGINT,
+which begins a planned stop: requests in flight are finished and slots are
+handed over. A second signal ends the process at once.`,
+		Example:      `  pollensail --settings host-a1.toml`,
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(*cobra.Command, []string) error { return run(file) },
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "TOML file with the settings of this process")
+	_ = cmd.MarkFlagRequired("settings") // fails only for an unknown flag
+	return cmd
+}
+
+func run(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	logger := telemetry.NewLogger(os.Stderr, s.Log.Level)
+	defer logger.Close()
+	p, err := process.New(s, logger)
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	ctx, stop := signals()
+	return p.Run(ctx, stop)
+}
+
+// signals returns a context that ends with the second signal and one that ends
+// with the first.
+func signals() (ctx, stop context.Context) {
+	ctx, end := context.WithCancel(context.Background())
+	stop, begin := context.WithCancel(ctx)
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-received
+		begin()
+		<-received
+		end()
+	}()
+	return ctx, stop
+}
--- a/host/control/loop.go
+++ b/host/control/loop.go
@@ -19,7 +19,7 @@
 const eventBacklog = 4096
 
 // Traffic carries out what concerns callers' requests: Forward, Deliver,
-// Refuse and Replay.
+// Refuse, Replay and CloseTraffic.
 type Traffic interface{ Apply(effect.Effect) }
 
 // Peers sends messages to other hosts. A message that cannot be sent at once
@@ -134,7 +134,7 @@
 // apply hands an effect to its adapter and reports whether it is Exit.
 func (l *Loop) apply(f effect.Effect) bool {
 	switch f := f.(type) {
-	case effect.Forward, effect.Deliver, effect.Refuse, effect.Replay:
+	case effect.Forward, effect.Deliver, effect.Refuse, effect.Replay, effect.CloseTraffic:
 		l.adapters.Traffic.Apply(f)
 	case effect.Send:
 		l.adapters.Peers.Send(f)
--- a/host/settings/settings.go
+++ b/host/settings/settings.go
@@ -15,9 +15,17 @@
 	Store  Store          `toml:"store"`
 	TLS    TLS            `toml:"tls"`
 	Limits Limits         `toml:"limits"`
+	Stop   Stop           `toml:"stop"`
 	Log    Log            `toml:"log"`
 }
 
+// Stop says how a planned stop proceeds.
+type Stop struct {
+	// BalancerDelay is how long the platform's balancer may keep sending
+	// requests after /readyz fails. Default 5s.
+	BalancerDelay Duration `toml:"balancer_delay"`
+}
+
 // Listen holds the addresses, as "ip:port", on which the process listens. All
 // are required. Port 0 takes any free port.
 type Listen struct {
@@ -73,6 +81,7 @@
 			DialTimeout:   Duration(250 * time.Millisecond),
 			PeerMessage:   8 * MiB,
 		},
-		Log: Log{Level: "info"},
+		Stop: Stop{BalancerDelay: Duration(5 * time.Second)},
+		Log:  Log{Level: "info"},
 	}
 }
