--- a/decision/config.go
+++ b/decision/config.go
@@ -24,6 +24,14 @@
 // make every host read at once.
 const storePatience = 4
 
+// ownerlessReads is how often in a second the whole fleet reads the root while
+// no owner of the watch is known, as at the start of a fleet or with domains in
+// the tree that no host has. ownerlessPause is the shortest pause of one host.
+const (
+	ownerlessReads = 10
+	ownerlessPause = time.Second
+)
+
 // configState is how the host follows the configuration.
 type configState struct {
 	root    configuration.Root             // in force; version 0: none
@@ -41,10 +49,11 @@
 	told     map[model.HostID]uint64 // versions that peers told, until one is in force
 	asked    int                     // index in peers of the last one asked for its version
 
-	storeVersion uint64 // of the last root that the store answered
-	isReading    bool   // a read of the root waits for its answer
-	isWatching   bool   // a watch of the root waits for its answer
-	storeDown    bool   // the last call for the root failed
+	storeVersion uint64        // of the last root that the store answered
+	nextRead     model.Instant // when to read while no owner is known
+	isReading    bool          // a read of the root waits for its answer
+	isWatching   bool          // a watch of the root waits for its answer
+	storeDown    bool          // the last call for the root failed
 }
 
 func newConfigState() configState {
@@ -121,13 +130,27 @@
 		c.behind = 0
 	}
 	switch {
-	case s.ownsSlot0() && c.storeVersion > 0:
+	case s.ownsSlot0():
 		s.watchRoot()
-	case c.newest() == 0, c.behind > storePatience:
+	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead():
 		s.readRoot()
 	}
 }
 
+// isOwnerlessRead reports whether it is this host's turn to read the root in
+// place of an owner of the watch.
+func (s *State) isOwnerlessRead() bool {
+	c := &s.config
+	_, isKnown := s.slotOwner(model.SlotID{Domain: s.domain})
+	if isKnown || s.now < c.nextRead {
+		return false
+	}
+	mean := time.Second * time.Duration(len(c.peers)+1) / ownerlessReads
+	pause := max(ownerlessPause, time.Duration(s.rand.Int64N(int64(2*mean))))
+	c.nextRead = s.now.Add(pause)
+	return true
+}
+
 // newest returns the newest version that is in force, on its way or rejected.
 func (c *configState) newest() uint64 {
 	return max(c.root.Version, c.target.root.Version, c.rejected)
--- /dev/null
+++ b/decision/config_fleet_test.go
@@ -0,0 +1,340 @@
+package decision_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision"
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/fleettest"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// treeStore is the store's records of the tree, with the hosts that follow it.
+type treeStore struct {
+	c        *qt.C
+	fleet    *fleettest.Fleet
+	rand     *rand.Rand
+	root     configuration.Root
+	tree     configuration.Tree
+	shards   map[string]configuration.Shard
+	want     map[uint64]*configuration.Snapshot // nil: the version is invalid
+	watches  map[*fleettest.Host]bool
+	inForce  map[model.HostRef]uint64
+	rejected int
+	reads    int // of shards in the store
+}
+
+// newTreeFleet returns a fleet that has not heard of the tree in the store.
+func newTreeFleet(t testing.TB, hosts int, seed uint64, line fleettest.Line) *treeStore {
+	s := &treeStore{
+		c:       qt.New(t),
+		rand:    rand.New(rand.NewPCG(seed, 6)),
+		shards:  make(map[string]configuration.Shard),
+		want:    make(map[uint64]*configuration.Snapshot),
+		watches: make(map[*fleettest.Host]bool),
+		inForce: make(map[model.HostRef]uint64),
+	}
+	s.edit(sampleTree())
+	o := fleettest.Options{Seed: seed, Line: line, Intercept: s.intercept}
+	s.fleet = fleettest.New(o)
+	s.fleet.Options.Hosts = entryHosts(hosts, 4)
+	for _, entry := range s.fleet.Options.Hosts {
+		s.fleet.Start(entry)
+	}
+	return s
+}
+
+const sampleAccounts = 600
+
+// sampleTree returns a tree whose accounts lie in several shards.
+func sampleTree() configuration.Tree {
+	tree := configuration.Tree{Branches: make(map[configuration.Path]configuration.Settings)}
+	tree.Set("", "domains", "d0\nd1\nd2\nd3")
+	tree.Set("accounts", "rate", "20/s")
+	tree.Set("accounts", "burst", "40")
+	for i := range sampleAccounts {
+		p := account(i)
+		tree.Set(p, "keys", configuration.FormatKey(sha256.Sum256([]byte(p))))
+	}
+	tree.Set("services/lookup", "servers", "127.0.0.1:9000")
+	tree.Set("routes/rings", "path", "/rings")
+	tree.Set("routes/rings", "service", "lookup")
+	return tree
+}
+
+func account(i int) configuration.Path {
+	return configuration.Path(fmt.Sprintf("accounts/customer-%03d", i))
+}
+
+// edit makes the tree the next version in the store.
+func (s *treeStore) edit(tree configuration.Tree) {
+	root := configuration.Root{Version: s.root.Version + 1}
+	parts := configuration.Split(tree)
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		encoded := []byte(fmt.Sprint(name, parts[name]))
+		sum := sha256.Sum256(encoded)
+		shard := configuration.Shard{Hash: hex.EncodeToString(sum[:]), Encoded: encoded, Branches: parts[name]}
+		s.shards[shard.Hash] = shard
+		root.Shards = append(root.Shards, configuration.ShardRef{Name: name, Hash: shard.Hash})
+	}
+	s.root, s.tree = root, tree
+	s.want[root.Version], _ = configuration.Compile(tree, root.Version)
+	for h := range s.watches {
+		s.answer(h, s.rootRead)
+	}
+	clear(s.watches)
+}
+
+// editRandomly changes objects in several shards, sometimes what others
+// inherit, and sometimes makes the tree invalid.
+func (s *treeStore) editRandomly() {
+	tree := s.tree.Clone()
+	delete(tree.Branches["routes/rings"], "unknown")
+	number := fmt.Sprint(s.root.Version + 1)
+	tree.Set(account(s.rand.IntN(sampleAccounts)), "burst", number)
+	tree.Set(account(s.rand.IntN(sampleAccounts)), "burst", number)
+	switch s.rand.IntN(5) {
+	case 0:
+		tree.Set("accounts", "burst", number)
+	case 1:
+		tree.Set("services/lookup", "slots", number)
+		tree.Set("routes/rings", "timeout", number+"s")
+	case 2:
+		tree.Set("routes/rings", "unknown", number)
+	}
+	s.edit(tree)
+}
+
+// intercept carries out what concerns the tree.
+func (s *treeStore) intercept(h *fleettest.Host, f effect.Effect) bool {
+	switch f := f.(type) {
+	case effect.ReadRoot:
+		s.answer(h, s.rootRead)
+	case effect.WatchRoot:
+		s.watch(h, f.After)
+	case effect.ReadShards:
+		s.reads += len(f.Hashes)
+		s.answer(h, func() event.Body { return s.shardsRead(f.Hashes) })
+	case effect.DecodeShards:
+		s.fleet.After(time.Millisecond, func() { h.Post(event.ShardsRead{Shards: s.decode(f.Shards)}) })
+	case effect.Send:
+		s.decodeSent(f.Message)
+		return false
+	case effect.Notice:
+		s.noticed(h, f.Kind)
+		return false
+	default:
+		return false
+	}
+	return true
+}
+
+// answer posts what the store says after a short time.
+func (s *treeStore) answer(h *fleettest.Host, body func() event.Body) {
+	delay := time.Duration(1+s.rand.IntN(20)) * time.Millisecond
+	s.fleet.After(delay, func() { h.Post(body()) })
+}
+
+func (s *treeStore) rootRead() event.Body {
+	if s.fleet.Store.Down {
+		return event.RootRead{Error: event.StoreUnavailable}
+	}
+	return event.RootRead{Root: s.root, StoreVersion: s.root.Version}
+}
+
+func (s *treeStore) watch(h *fleettest.Host, after uint64) {
+	if s.fleet.Store.Down || s.root.Version > after {
+		s.answer(h, s.rootRead)
+		return
+	}
+	s.watches[h] = true
+}
+
+func (s *treeStore) shardsRead(hashes []string) event.Body {
+	if s.fleet.Store.Down {
+		return event.ShardsRead{Error: event.StoreUnavailable}
+	}
+	var shards []configuration.Shard
+	for _, hash := range hashes {
+		shards = append(shards, s.shards[hash])
+	}
+	return event.ShardsRead{Shards: shards}
+}
+
+func (s *treeStore) decode(shards []configuration.Shard) []configuration.Shard {
+	var decoded []configuration.Shard
+	for _, shard := range shards {
+		decoded = append(decoded, s.shards[shard.Hash])
+	}
+	return decoded
+}
+
+// decodeSent does what the adapter of the receiver does with shards.
+func (s *treeStore) decodeSent(m message.Message) {
+	if m, ok := m.(message.Shards); ok {
+		copy(m.Shards, s.decode(m.Shards))
+	}
+}
+
+// noticed checks a version that a host put in force against the whole tree.
+func (s *treeStore) noticed(h *fleettest.Host, kind effect.NoticeKind) {
+	if kind == effect.NoticeVersionRejected {
+		s.rejected++
+	}
+	if kind != effect.NoticeVersion {
+		return
+	}
+	snapshot := decision.SnapshotOf(h.State)
+	before := s.inForce[h.Ref]
+	s.c.Assert(snapshot.Version > before, qt.IsTrue, qt.Commentf("%v: %d after %d", h.Ref, snapshot.Version, before))
+	isWhole := reflect.DeepEqual(snapshot, s.want[snapshot.Version])
+	s.c.Assert(isWhole, qt.IsTrue, qt.Commentf("%v serves a mixture as version %d", h.Ref, snapshot.Version))
+	s.inForce[h.Ref] = snapshot.Version
+}
+
+// versions returns the version at each living host, 0 for none.
+func (s *treeStore) versions() []uint64 {
+	var versions []uint64
+	for _, entry := range s.fleet.Options.Hosts {
+		if h := s.fleet.Hosts[model.HostID(entry.ID)]; h.Alive() {
+			versions = append(versions, s.inForce[h.Ref])
+		}
+	}
+	return versions
+}
+
+// settles reports whether every living host serves the version in the store
+// within the given time.
+func (s *treeStore) settles(within time.Duration) bool {
+	isNewest := func(v uint64) bool { return v == s.root.Version }
+	for end := s.fleet.Now + within; s.fleet.Now < end; s.fleet.Run(50 * time.Millisecond) {
+		if !slices.ContainsFunc(s.versions(), func(v uint64) bool { return !isNewest(v) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// propagation is the time in which an edit is in force everywhere at today's
+// size.
+const propagation = 5 * time.Second
+
+var badLine = fleettest.Line{Loss: 0.2, Repeat: 0.2, MinDelay: time.Millisecond, MaxDelay: 300 * time.Millisecond}
+
+// TestVersionsNeverMixOrRevert guards against a half-applied tree and a return
+// to an older one while messages are lost, repeated and reordered, the store
+// goes down, edits race through and hosts restart.
+func TestVersionsNeverMixOrRevert(t *testing.T) {
+	rejected := 0
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newTreeFleet(t, 8, seed, badLine)
+			s.c.Assert(s.settles(20*time.Second), qt.IsTrue)
+			for range 25 {
+				s.disturb()
+				s.fleet.Run(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+			}
+			s.fleet.Store.Down = false
+			s.edit(sampleTree())
+			s.c.Assert(s.settles(time.Minute), qt.IsTrue, qt.Commentf("%v, want %d", s.versions(), s.root.Version))
+			rejected += s.rejected
+		})
+	}
+	qt.Assert(t, rejected > 0, qt.IsTrue)
+}
+
+// disturb does one thing that happens to a fleet.
+func (s *treeStore) disturb() {
+	entries := s.fleet.Options.Hosts
+	entry := entries[s.rand.IntN(len(entries))]
+	switch s.rand.IntN(6) {
+	case 0:
+		s.fleet.Store.Down = !s.fleet.Store.Down
+	case 1:
+		s.fleet.Hosts[model.HostID(entry.ID)].Kill()
+		s.fleet.Start(entry)
+	default:
+		if !s.fleet.Store.Down {
+			s.editRandomly()
+		}
+	}
+}
+
+// TestEditIsInForceEverywhereInTime guards against an edit that takes longer
+// than 5 s to reach all of today's 40 hosts.
+func TestEditIsInForceEverywhereInTime(t *testing.T) {
+	c := qt.New(t)
+	line := fleettest.Line{Loss: 0.01, MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond}
+	s := newTreeFleet(t, 40, 1, line)
+	c.Assert(s.settles(30*time.Second), qt.IsTrue)
+	s.fleet.Run(30 * time.Second) // until slots have owners
+	var longest time.Duration
+	before := s.reads
+	for range 20 {
+		tree := s.tree.Clone()
+		tree.Set(account(s.rand.IntN(sampleAccounts)), "burst", fmt.Sprint(s.root.Version))
+		s.edit(tree)
+		from := s.fleet.Now
+		c.Assert(s.settles(propagation), qt.IsTrue, qt.Commentf("%v", s.versions()))
+		longest = max(longest, s.fleet.Now-from)
+		s.fleet.Run(time.Second)
+	}
+	t.Logf("in force everywhere after at most %v, %d shards read from the store", longest, s.reads-before)
+}
+
+// TestStartInStoreOutage guards against a new host that serves an old version,
+// and against one that cannot start while the store is down.
+func TestStartInStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	s := newTreeFleet(t, 8, 3, fleettest.Line{MaxDelay: 5 * time.Millisecond})
+	c.Assert(s.settles(20*time.Second), qt.IsTrue)
+	s.fleet.Run(20 * time.Second)
+	entries := s.fleet.Options.Hosts
+	lagging := s.fleet.Hosts[model.HostID(entries[1].ID)]
+	lagging.Pause()
+	s.edit(sampleTree())
+	s.fleet.Run(propagation)
+	s.fleet.Store.Down = true
+	s.fleet.Hosts[model.HostID(entries[0].ID)].Kill()
+	for _, entry := range entries[2:] {
+		s.fleet.Hosts[model.HostID(entry.ID)].Pause()
+	}
+	lagging.Resume()
+	started := s.fleet.Start(entries[0])
+	s.fleet.Run(10 * time.Second)
+	c.Assert(s.inForce[started.Ref], qt.Equals, uint64(0), qt.Commentf("took the version of a single peer"))
+	for _, entry := range entries[2:] {
+		s.fleet.Hosts[model.HostID(entry.ID)].Resume()
+	}
+	c.Assert(s.settles(10*time.Second), qt.IsTrue, qt.Commentf("%v", s.versions()))
+}
+
+// TestInvalidVersionIsNotApplied guards against a tree that does not validate
+// taking the place of the one in force.
+func TestInvalidVersionIsNotApplied(t *testing.T) {
+	c := qt.New(t)
+	s := newTreeFleet(t, 3, 4, fleettest.Line{})
+	c.Assert(s.settles(20*time.Second), qt.IsTrue)
+	s.fleet.Run(30 * time.Second)
+	tree := s.tree.Clone()
+	tree.Set("routes/rings", "unknown", "1")
+	s.edit(tree)
+	s.fleet.Run(propagation)
+	c.Assert(s.versions(), qt.DeepEquals, []uint64{1, 1, 1})
+	c.Assert(s.rejected > 0, qt.IsTrue)
+	s.edit(sampleTree())
+	c.Assert(s.settles(propagation), qt.IsTrue)
+}
