--- a/host/cmd/pollenctl/key.go
+++ b/host/cmd/pollenctl/key.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -12,12 +15,9 @@
 )
 
 func (t *tool) keyCommand() *cobra.Command {
-	cmd := &cobra.Command{
-		Use:   "key",
-		Short: "Grant and withdraw keys of client accounts",
-	}
-	cmd.AddCommand(t.keyGrant(), t.keyWithdraw())
-	return cmd
+	return group("key", "Grant and withdraw keys of client accounts",
+		"The tree holds the SHA-256 of each key only.",
+		t.keyGrant(), t.keyWithdraw())
 }
 
 type grantJSON struct {
@@ -64,7 +64,11 @@
 		Example: `  pollenctl key withdraw institutes/ntnu sha256:9f86d081884c7d65...`,
 		Args:    cobra.ExactArgs(2),
 		RunE: t.withStore(func(ctx context.Context, r *operate.Repository, args []string) error {
-			result, err := r.WithdrawKey(ctx, model.AccountID(args[0]), args[1], t.author)
+			key, err := t.argument(args[1])
+			if err != nil {
+				return err
+			}
+			result, err := r.WithdrawKey(ctx, model.AccountID(args[0]), key, t.author)
 			if err != nil {
 				return err
 			}
@@ -72,3 +76,15 @@
 		}),
 	}
 }
+
+// argument returns the text, or for "-" the first line of standard input.
+func (t *tool) argument(text string) (string, error) {
+	if text != "-" {
+		return text, nil
+	}
+	line, err := bufio.NewReader(t.in).ReadString('\n')
+	if err != nil && err != io.EOF {
+		return "", usageError{err}
+	}
+	return strings.TrimSpace(line), nil
+}
--- a/host/cmd/pollenctl/tool.go
+++ b/host/cmd/pollenctl/tool.go
@@ -94,10 +94,23 @@
 	flags.StringVar(&t.output, "output", outputText, "form of the output: text or json")
 	flags.StringVar(&t.author, "author", os.Getenv("USER"), "name to record with an edit")
 	flags.DurationVar(&t.timeout, "timeout", defaultTimeout, "longest time for the whole command")
-	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand())
+	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand(), t.statusCommand())
 	return root
 }
 
+// group makes a command that only has subcommands.
+func group(use, short, long string, subcommands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Long:  long,
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(subcommands...)
+	return cmd
+}
+
 // repository opens the store of the --store flag.
 func (t *tool) repository() (*operate.Repository, error) {
 	if t.store == "" {
--- a/host/cmd/pollenctl/tree.go
+++ b/host/cmd/pollenctl/tree.go
@@ -13,15 +13,11 @@
 )
 
 func (t *tool) treeCommand() *cobra.Command {
-	cmd := &cobra.Command{
-		Use:   "tree",
-		Short: "Read and edit the tree of settings",
-		Long: `The tree consists of branches. The branches below "accounts", "routes" and
+	return group("tree", "Read and edit the tree of settings",
+		`The tree consists of branches. The branches below "accounts", "routes" and
 "services" inherit from the branch above them; those with nothing below them
 are the client accounts, routes and services.`,
-	}
-	cmd.AddCommand(t.treeGet(), t.treeSet(), t.treeApply(), t.treeDiff(), t.treeHistory())
-	return cmd
+		t.treeGet(), t.treeSet(), t.treeEdit(), t.treeApply(), t.treeDiff(), t.treeHistory())
 }
 
 func (t *tool) treeGet() *cobra.Command {
@@ -67,17 +63,14 @@
 }
 
 func (t *tool) printTree(revision operate.Revision, p configuration.Path) error {
-	tree := operate.Subtree(revision.Tree, p)
-	if len(tree.Branches) == 0 && p != "" {
-		return fmt.Errorf("there is no branch %s", p)
+	text, err := encodeBranch(revision, p)
+	if err != nil {
+		return err
 	}
 	if t.isJSON() {
+		tree := operate.Subtree(revision.Tree, p)
 		return t.printJSON(treeJSON{revision.Root.Version, tree.Branches})
 	}
-	text, err := treefile.Encode(treefile.File{Base: revision.Root.Version, Subtree: p, Tree: tree})
-	if err != nil {
-		return err
-	}
 	_, err = t.out.Write(text)
 	return err
 }
@@ -89,6 +82,9 @@
 }
 
 func (t *tool) printEffective(revision operate.Revision, p configuration.Path) error {
+	if _, ok := revision.Tree.Branches[p]; !ok {
+		return fmt.Errorf("there is no branch %s", p)
+	}
 	values := revision.Tree.Effective(p)
 	if t.isJSON() {
 		list := make([]effectiveJSON, 0, len(values))
@@ -213,6 +209,11 @@
 	if err != nil {
 		return err
 	}
+	return t.applyTreeFile(ctx, r, name, file, note)
+}
+
+// applyTreeFile reports problems with the lines of the file.
+func (t *tool) applyTreeFile(ctx context.Context, r *operate.Repository, name string, file treefile.File, note string) error {
 	base, err := revisionAt(ctx, r, file.Base)
 	if err != nil {
 		return err
--- a/host/operate/apply.go
+++ b/host/operate/apply.go
@@ -74,7 +74,7 @@
 var ErrMayHaveWritten = merry.Sentinel("the store did not answer; the edit may have been written, see pollenctl tree history")
 
 // Apply validates an edit, merges it with those that came first and writes
-// it. Errors: *InvalidError, *ConflictError, ErrUnavailable,
+// it. Errors: *InvalidError, *ConflictError, store.ErrUnavailable,
 // ErrMayHaveWritten.
 func (r *Repository) Apply(ctx context.Context, edit Edit) (Result, error) {
 	var mergedWith []uint64
@@ -166,7 +166,7 @@
 	group.SetLimit(storeCalls)
 	for _, shard := range shards {
 		if !known[shard.Hash] {
-			group.Go(func() error { return r.put(ctx, shardKey(shard.Hash), shard.Encoded) })
+			group.Go(func() error { return r.put(ctx, store.ShardKey(shard.Hash), shard.Encoded) })
 		}
 	}
 	return refs, group.Wait()
@@ -192,11 +192,11 @@
 	if root.Version == 0 {
 		return nil
 	}
-	value, err := encodeRoot(root)
+	value, err := store.EncodeRoot(root)
 	if err != nil {
 		return err
 	}
-	return r.put(ctx, historyKey(root.Version), value)
+	return r.put(ctx, store.HistoryKey(root.Version), value)
 }
 
 // swapRoot writes the root, once. It reports false where another edit came
@@ -204,7 +204,7 @@
 // repeated swap has the same write id and expects the same store version, so
 // that at most one of them takes effect.
 func (r *Repository) swapRoot(ctx context.Context, storeVersion uint64, root configuration.Root) (bool, error) {
-	value, err := encodeRoot(root)
+	value, err := store.EncodeRoot(root)
 	if err != nil {
 		return false, err
 	}
@@ -215,7 +215,7 @@
 				return err
 			}
 		}
-		_, err := r.store.CompareAndSwap(ctx, rootKey, storeVersion, value)
+		_, err := r.store.CompareAndSwap(ctx, store.RootKey, storeVersion, value)
 		isDoubtful = isDoubtful || isUnavailable(err)
 		return err
 	})
@@ -251,7 +251,7 @@
 // fate reads back what became of a swap. A version that was replaced since is
 // in the history.
 func (r *Repository) fate(ctx context.Context, root configuration.Root) (fate, error) {
-	stored, _, err := r.root(ctx, rootKey)
+	stored, _, err := r.root(ctx, store.RootKey)
 	if err == nil && stored.Version > root.Version {
 		stored, err = r.rootAt(ctx, root.Version)
 	}
--- a/host/operate/apply_test.go
+++ b/host/operate/apply_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollensail.dev/decision/configuration"
+	"pollensail.dev/host/store"
 )
 
 const ntnu = "accounts/institutes/ntnu"
@@ -55,13 +56,13 @@
 	_, err = edit(r, "ann", base, ntnu, "burst", "0")
 	var invalid *InvalidError
 	c.Assert(errors.As(err, &invalid), qt.IsTrue)
-	c.Assert(f.swaps[rootKey], qt.Equals, 1)
+	c.Assert(f.swaps[store.RootKey], qt.Equals, 1)
 }
 
 // TestLostAnswers guards against an edit that is applied twice, or reported as
 // failed although it took effect, when the answer of the swap is lost.
 func TestLostAnswers(t *testing.T) {
-	lost := func() error { return ErrUnavailable }
+	lost := func() error { return store.ErrUnavailable }
 	cases := []struct {
 		name string
 		set  func(r *Repository, f *fakeStore, base Revision)
@@ -80,7 +81,7 @@
 			f.after = once(func() error {
 				base, _ := r.Current(context.Background())
 				_, err := edit(r, "bob", base, "services/lookup", "queue", "7")
-				return errors.Join(ErrUnavailable, err)
+				return errors.Join(store.ErrUnavailable, err)
 			})
 		},
 		2,
@@ -89,7 +90,7 @@
 		func(r *Repository, f *fakeStore, base Revision) {
 			f.before = once(func() error {
 				_, err := edit(r, "bob", base, "services/lookup", "queue", "7")
-				return errors.Join(ErrUnavailable, err)
+				return errors.Join(store.ErrUnavailable, err)
 			})
 		},
 		3,
@@ -110,7 +111,7 @@
 			entry, err := r.rootAt(context.Background(), tc.want)
 			c.Assert(err, qt.IsNil)
 			c.Assert(entry.Author, qt.Equals, "ann")
-			c.Assert(f.swaps[rootKey], qt.Equals, int(current.Root.Version))
+			c.Assert(f.swaps[store.RootKey], qt.Equals, int(current.Root.Version))
 		})
 	}
 }
@@ -123,8 +124,8 @@
 	base, err := r.Current(context.Background())
 	c.Assert(err, qt.IsNil)
 	f.before = func(key string) error {
-		if key == rootKey {
-			return ErrUnavailable
+		if key == store.RootKey {
+			return store.ErrUnavailable
 		}
 		return nil
 	}
--- a/host/operate/fake_test.go
+++ b/host/operate/fake_test.go
@@ -9,6 +9,7 @@
 
 	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/store"
 	"pollensail.dev/host/treefile"
 )
 
@@ -50,7 +51,7 @@
 		return 0, err
 	}
 	if !f.swap(key, version, value) {
-		return 0, ErrConflict
+		return 0, store.ErrConflict
 	}
 	return version + 1, f.after(key)
 }
@@ -72,7 +73,7 @@
 func once(fn func() error) func(string) error {
 	var isDone bool
 	return func(key string) error {
-		if key != rootKey || isDone {
+		if key != store.RootKey || isDone {
 			return nil
 		}
 		isDone = true
--- a/host/operate/history.go
+++ b/host/operate/history.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"pollensail.dev/decision/configuration"
+	"pollensail.dev/host/store"
 )
 
 // HistoryEntry is one version of the tree.
@@ -18,13 +19,13 @@
 
 // History returns up to limit versions, the newest first.
 func (r *Repository) History(ctx context.Context, limit int) ([]HistoryEntry, error) {
-	root, _, err := r.root(ctx, rootKey)
+	root, _, err := r.root(ctx, store.RootKey)
 	if err != nil {
 		return nil, err
 	}
 	var entries []HistoryEntry
 	for root.Version > 0 && len(entries) < limit {
-		before, _, err := r.root(ctx, historyKey(root.Version-1))
+		before, _, err := r.root(ctx, store.HistoryKey(root.Version-1))
 		if err != nil {
 			return nil, err
 		}
--- a/host/operate/preview.go
+++ b/host/operate/preview.go
@@ -8,7 +8,7 @@
 )
 
 // Preview returns what applying a file would change in the newest version.
-// Errors: *InvalidError, *ConflictError, ErrUnavailable.
+// Errors: *InvalidError, *ConflictError, store.ErrUnavailable.
 func (r *Repository) Preview(ctx context.Context, f treefile.File) ([]configuration.Change, error) {
 	current, err := r.Current(ctx)
 	if err != nil {
--- a/host/operate/repository.go
+++ b/host/operate/repository.go
@@ -47,7 +47,7 @@
 
 // Current returns the version in the store, an empty tree where there is none.
 func (r *Repository) Current(ctx context.Context) (Revision, error) {
-	root, storeVersion, err := r.root(ctx, rootKey)
+	root, storeVersion, err := r.root(ctx, store.RootKey)
 	if err != nil {
 		return Revision{}, err
 	}
@@ -67,11 +67,11 @@
 }
 
 func (r *Repository) rootAt(ctx context.Context, version uint64) (configuration.Root, error) {
-	current, _, err := r.root(ctx, rootKey)
+	current, _, err := r.root(ctx, store.RootKey)
 	if err != nil || current.Version == version && version > 0 {
 		return current, err
 	}
-	root, storeVersion, err := r.root(ctx, historyKey(version))
+	root, storeVersion, err := r.root(ctx, store.HistoryKey(version))
 	if err == nil && storeVersion == 0 {
 		return root, merry.Wrap(ErrNoVersion, merry.AppendMessagef("version %d", version))
 	}
@@ -83,7 +83,7 @@
 	if err != nil || version == 0 {
 		return configuration.Root{}, 0, err
 	}
-	root, err := decodeRoot(key, value)
+	root, err := store.DecodeRoot(value)
 	return root, version, err
 }
 
@@ -110,7 +110,7 @@
 }
 
 func (r *Repository) shard(ctx context.Context, ref configuration.ShardRef) (configuration.Shard, error) {
-	value, version, err := r.get(ctx, shardKey(ref.Hash))
+	value, version, err := r.get(ctx, store.ShardKey(ref.Hash))
 	if err != nil {
 		return configuration.Shard{}, err
 	}
--- /dev/null
+++ b/host/operate/status.go
@@ -0,0 +1,135 @@
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"pollensail.dev/decision/model"
+	"pollensail.dev/host/telemetry"
+)
+
+const (
+	// statusTimeout bounds the question to one host.
+	statusTimeout = 3 * time.Second
+	// statusCalls bounds the hosts that are asked at a time.
+	statusCalls = 32
+	// maxStatusSize bounds the answer of a host in bytes.
+	maxStatusSize = 16 << 20
+	// waitPause is the time between two rounds of WaitVersion.
+	waitPause = 200 * time.Millisecond
+)
+
+// HostStatus is what a listed entry host answered.
+type HostStatus struct {
+	ID       string
+	Operator string // "ip:port" of its operator port
+	Leaving  bool   // the platform lists it as leaving
+	// Error says why there is no status. Empty: Status is valid.
+	Error  string
+	Status telemetry.Status
+}
+
+// Statuses asks each listed entry host for its status. A host that does not
+// answer is listed with the error. The order is that of the ids.
+func (r *Repository) Statuses(ctx context.Context) ([]HostStatus, error) {
+	entries, err := r.entryHosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	statuses := make([]HostStatus, len(entries))
+	var group errgroup.Group
+	group.SetLimit(statusCalls)
+	for i, entry := range entries {
+		group.Go(func() error {
+			statuses[i] = askStatus(ctx, entry)
+			return nil
+		})
+	}
+	return statuses, group.Wait()
+}
+
+func (r *Repository) entryHosts(ctx context.Context) ([]model.HostEntry, error) {
+	var entries []model.HostEntry
+	err := r.repeat(ctx, func() error {
+		var err error
+		entries, err = r.store.HostList(ctx)
+		return err
+	})
+	entries = slices.DeleteFunc(slices.Clone(entries), func(e model.HostEntry) bool { return e.Role != model.RoleEntry })
+	slices.SortFunc(entries, func(a, b model.HostEntry) int { return strings.Compare(a.ID, b.ID) })
+	return entries, err
+}
+
+func askStatus(ctx context.Context, entry model.HostEntry) HostStatus {
+	host := HostStatus{ID: entry.ID, Operator: entry.Operator, Leaving: entry.Leaving}
+	status, err := fetchStatus(ctx, entry.Operator)
+	if err != nil {
+		host.Error = err.Error()
+		return host
+	}
+	host.Status = status
+	return host
+}
+
+func fetchStatus(ctx context.Context, address string) (telemetry.Status, error) {
+	var status telemetry.Status
+	if address == "" {
+		return status, fmt.Errorf("the host list has no operator port for it")
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return status, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return status, fmt.Errorf("/status answered %s", answer.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(answer.Body, maxStatusSize)).Decode(&status)
+	return status, err
+}
+
+// WaitVersion asks until all listed entry hosts have the version, or a newer
+// one, in force, or ctx ends. It returns the last answers and whether all have
+// it. Hosts that are listed as leaving are not waited for.
+func (r *Repository) WaitVersion(ctx context.Context, version uint64) ([]HostStatus, bool, error) {
+	var last []HostStatus
+	for {
+		statuses, err := r.Statuses(ctx)
+		if ctx.Err() != nil && last != nil {
+			return last, false, nil // this round was cut short
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		last = statuses
+		if haveVersion(statuses, version) {
+			return statuses, true, nil
+		}
+		if r.pause(ctx, waitPause) != nil {
+			return statuses, false, nil
+		}
+	}
+}
+
+func haveVersion(statuses []HostStatus, version uint64) bool {
+	for _, s := range statuses {
+		if !s.Leaving && (s.Error != "" || s.Status.Version < version) {
+			return false
+		}
+	}
+	return true
+}
--- a/host/operate/store.go
+++ b/host/operate/store.go
@@ -4,20 +4,13 @@
 	"context"
 	"errors"
 
-	"github.com/ansel1/merry/v2"
-
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/store"
 )
 
-// The errors of a Store, to be matched by errors.Is.
-var (
-	// ErrConflict: the version was not the expected one; nothing was written.
-	ErrConflict = merry.Sentinel("version conflict")
-	// ErrUnavailable: there was no answer; a write may have taken effect.
-	ErrUnavailable = merry.Sentinel("the store does not answer")
-)
-
-// Store is what operators need of the platform's key-value service.
+// Store is what operators need of the platform's key-value service. Errors
+// match store.ErrConflict or store.ErrUnavailable, after which a write may
+// have taken effect.
 type Store interface {
 	// Get returns a value and its version; version 0 means that there is none.
 	Get(ctx context.Context, key string) (value []byte, version uint64, err error)
@@ -28,5 +21,5 @@
 	HostList(ctx context.Context) ([]model.HostEntry, error)
 }
 
-func isConflict(err error) bool    { return errors.Is(err, ErrConflict) }
-func isUnavailable(err error) bool { return errors.Is(err, ErrUnavailable) }
+func isConflict(err error) bool    { return errors.Is(err, store.ErrConflict) }
+func isUnavailable(err error) bool { return errors.Is(err, store.ErrUnavailable) }
