--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -197,7 +197,10 @@
 func (s *State) compileShard(shard configuration.Shard) {
 	t := &s.config.target
 	branches := shard.Branches
-	shard.Branches = nil // only the encoded form is kept
+	// Only the encoded form is kept, in a slice of its own: the buffer of a read
+	// may be larger than its content.
+	shard.Branches = nil
+	shard.Encoded = slices.Clone(shard.Encoded)
 	for _, ref := range t.next() {
 		if ref.Hash != shard.Hash {
 			continue
