--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -55,22 +55,18 @@
 
 list_host() { curl -sf -X PUT "http://$STORE/v1/hosts/$1" -d "$2" >/dev/null; }
 
-# free_ports N: ports of 127.0.0.1 that were free a moment ago.
-free_ports() { bin/standin ports "$1"; }
-
 # start_host NAME DOMAIN: an entry host, listed by the platform. Writes its
-# callers' and operators' addresses to DIR/NAME.addr.
+# addresses to DIR/NAME.addr.
 start_host() {
-  local name=$1 domain=$2 caller peer operator
-  read -r caller peer operator < <(free_ports 3 | tr '\n' ' ')
+  local name=$1 domain=$2
   cat >"$DIR/$name.toml" <<EOF
 host = "$name"
 domain = "$domain"
 
 [listen]
-caller = "$caller"
-peer = "$peer"
-operator = "$operator"
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+operator = "127.0.0.1:0"
 
 [store]
 address = "$STORE"
@@ -81,11 +77,19 @@
 [stop]
 balancer_delay = "500ms"
 EOF
-  printf 'caller=%s\npeer=%s\noperator=%s\n' "$caller" "$peer" "$operator" >"$DIR/$name.addr"
-  list_host "$name" "{\"id\":\"$name\",\"role\":\"entry\",\"domain\":\"$domain\",\"peer\":\"$peer\",\"operator\":\"$operator\"}"
   spawn "$name" bin/pollensail --settings "$DIR/$name.toml"
+  wait_for 5 has_started "$name"
+  for port in caller peer operator; do
+    echo "$port=$(started_port "$name" $port)"
+  done >"$DIR/$name.addr"
+  list_host "$name" "{\"id\":\"$name\",\"role\":\"entry\",\"domain\":\"$domain\",\"peer\":\"$(announced "$name" peer)\",\"operator\":\"$(announced "$name" operator)\"}"
 }
 
+has_started() { grep -q '"message":"host started"' "$DIR/$1.log"; }
+
+# started_port NAME PORT: an address from the line that a host logs at its start.
+started_port() { sed -n "s/.*\"$2\":\"\([0-9.:]*\)\".*\"host started\".*/\1/p" "$DIR/$1.log"; }
+
 is_ready() { curl -sf "http://$(announced "$1" operator)/readyz"; }
 
 stop_all() {
