--- a/host/frontend/forward.go
+++ b/host/frontend/forward.go
@@ -13,16 +13,24 @@
 	hidden := secret{key}
 	body := in.Body()
 	if hidden.isInFixedPart(in, t.path) || hidden.isIn(body) {
-		return malformed("the client account key may only be in " + wire.Authorization + " or " + wire.APIKey)
+		return misplacedKey()
 	}
 	out.Header.SetNoDefaultContentType(true)
 	out.Header.SetMethodBytes(in.Header.Method())
 	out.Header.SetRequestURIBytes(forwardTarget(t, hidden))
 	copyFields(&out.Header, &in.Header, hidden)
 	out.SetBodyRaw(body)
+	if hidden.isIn(out.Header.Header()) {
+		// A key may have separators of its own and reach across parts.
+		return misplacedKey()
+	}
 	return nil
 }
 
+func misplacedKey() *badRequest {
+	return malformed("the client account key may only be in " + wire.Authorization + " or " + wire.APIKey)
+}
+
 // isInFixedPart reports whether the key is in a part of the request that
 // cannot be left out.
 func (s secret) isInFixedPart(r *fasthttp.Request, path []byte) bool {
--- a/host/frontend/frontend_test.go
+++ b/host/frontend/frontend_test.go
@@ -33,13 +33,15 @@
 	frontend *Frontend
 	decide   func(event.Body) effect.Effect
 
+	keepsNothing bool // for benchmarks
+
 	mu      sync.Mutex
 	arrived []event.RequestArrived
 	sent    chan event.AnswerSent
 }
 
 func (r *reducer) Post(body event.Body) bool {
-	if arrived, ok := body.(event.RequestArrived); ok {
+	if arrived, ok := body.(event.RequestArrived); ok && !r.keepsNothing {
 		r.mu.Lock()
 		r.arrived = append(r.arrived, arrived)
 		r.mu.Unlock()
--- a/host/frontend/key_test.go
+++ b/host/frontend/key_test.go
@@ -54,6 +54,7 @@
 		{name: "encoded query", target: "/a?a=1&k=%KEY", fields: bearer},
 		{name: "trailer", fields: bearer + "Transfer-Encoding: chunked\r\nTrailer: X-Api-Key\r\n", body: "1\r\na\r\n0\r\nX-Api-Key: KEY\r\nX-Sum: KEY\r\n\r\n"},
 		{name: "proxy authorization", fields: bearer + "Proxy-Authorization: Bearer KEY\r\n"},
+		{name: "key with separators", target: "/a?x=1&y=2", fields: "X-Api-Key: 1&y\r\n", status: 400},
 		{name: "path", target: "/a/%KEY", fields: bearer, status: 400},
 		{name: "body", fields: bearer + "Content-Length: 14\r\n", body: "KEY", status: 400},
 		{name: "two bearers", fields: bearer + "Authorization: Bearer other\r\n", status: 400},
--- /dev/null
+++ b/host/wire/wire_test.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestParseTimeout guards the bounds of a caller's timeout.
+func TestParseTimeout(t *testing.T) {
+	c := qt.New(t)
+	for value, want := range map[string]time.Duration{
+		"800ms": 800 * time.Millisecond, "1h": time.Hour, "1ns": 1,
+		"": 0, "0s": 0, "-1s": 0, "1h1ns": 0, "800": 0, "1e9s": 0, "99999999999h": 0,
+	} {
+		got, err := ParseTimeout(value)
+		c.Check(got, qt.Equals, want, qt.Commentf("%q", value))
+		c.Check(err == nil, qt.Equals, want > 0, qt.Commentf("%q", value))
+	}
+	c.Check(string(AppendTimeout(nil, 799999*time.Microsecond)), qt.Equals, "799ms")
+	c.Check(string(AppendTimeout(nil, time.Microsecond)), qt.Equals, "1ms")
+}
+
+// TestParseLoad guards against a load that is read from something else.
+func TestParseLoad(t *testing.T) {
+	c := qt.New(t)
+	got, err := ParseLoad("2/6")
+	c.Check(err, qt.IsNil)
+	c.Check(got, qt.Equals, ServerLoad{InFlight: 2, Slots: 6})
+	for _, value := range []string{"", "2", "2/", "/6", "2/0", "-1/6", "+1/6", " 2/6", "2/6/1", "2/99999999"} {
+		_, err := ParseLoad(value)
+		c.Check(err, qt.Equals, ErrValue, qt.Commentf("%q", value))
+	}
+}
+
+// FuzzValues guards against panics and out-of-range results for any value.
+func FuzzValues(f *testing.F) {
+	for _, seed := range []string{"800ms", "2/6", "-1/6", "1e9s", "9223372036854775807ns"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		timeout, err := ParseTimeout(value)
+		if err == nil && (timeout <= 0 || timeout > MaxTimeout) {
+			t.Errorf("ParseTimeout(%q) = %v", value, timeout)
+		}
+		load, err := ParseLoad(value)
+		if err == nil && (load.Slots < 1 || load.InFlight < 0 || load.Slots > maxLoadNumber) {
+			t.Errorf("ParseLoad(%q) = %+v", value, load)
+		}
+	})
+}
+
+// FuzzCheckFraming guards against a message with two lengths that passes: no
+// text around them may hide the fields.
+func FuzzCheckFraming(f *testing.F) {
+	f.Add([]byte("Host: h\r\n"), "Content-Length: 1")
+	f.Add([]byte("transfer-encoding: chunked\r\n"), "x\n")
+	f.Fuzz(func(t *testing.T, lines []byte, between string) {
+		_ = CheckFraming(lines)
+		between = strings.TrimRight(between, "\n") + "\n"
+		both := [][]byte{[]byte("content-LENGTH:1\n"), []byte(between), []byte("Transfer-Encoding : chunked\r\n"), lines}
+		if CheckFraming(bytes.Join(both, nil)) == nil {
+			t.Errorf("two lengths pass with %q between and %q after", between, lines)
+		}
+	})
+}
+
+// FuzzConnection guards against a listed field that is passed on.
+func FuzzConnection(f *testing.F) {
+	f.Add("close, X-Hop", "x-hop")
+	f.Fuzz(func(t *testing.T, list, name string) {
+		var c Connection
+		c.Add([]byte(list + ", " + name))
+		name = string(bytes.TrimSpace([]byte(name)))
+		if name == "" || strings.Contains(name, ",") {
+			return
+		}
+		isKept := strings.EqualFold(name, "Host") || strings.EqualFold(name, "Content-Type")
+		if c.Names([]byte(name)) == isKept {
+			t.Errorf("%q is listed in %q: %v", name, list, !isKept)
+		}
+	})
+}
