--- a/host/telemetry/metrics.go
+++ b/host/telemetry/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 	"unicode"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
@@ -64,12 +65,13 @@
 // restart. The control goroutine is the only writer.
 type metrics struct {
 	sources []Source
+	log     *log.Logger
 	current atomic.Pointer[generation]
 }
 
-func newMetrics(sources []Source) *metrics {
-	m := &metrics{sources: sources}
-	m.current.Store(newGeneration(sources))
+func newMetrics(sources []Source, logger *log.Logger) *metrics {
+	m := &metrics{sources: sources, log: logger}
+	m.current.Store(m.newGeneration())
 	return m
 }
 
@@ -85,7 +87,7 @@
 	g := m.current.Load()
 	if g.refuses(r.Account) && time.Since(g.started) > generationAge {
 		go g.closer.Close()
-		g = newGeneration(m.sources)
+		g = m.newGeneration()
 		m.current.Store(g)
 	}
 	g.record(r, latency)
@@ -117,12 +119,16 @@
 	verdict model.Verdict
 }
 
-func newGeneration(sources []Source) *generation {
+func (m *metrics) newGeneration() *generation {
 	registry := prometheus.NewRegistry()
-	for _, s := range sources {
+	for _, s := range m.sources {
 		registry.MustRegister(s.collector())
 	}
-	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry})
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry,
+		// The default is a panic. The metric that failed counts nothing.
+		OnRegisterError: func(err error) { m.log.Error().Err(err).Msg("metric not registered") },
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "pollensail",
 		CachedReporter:         reporter,
--- a/host/telemetry/observer.go
+++ b/host/telemetry/observer.go
@@ -23,7 +23,7 @@
 func New(logger *log.Logger, sources ...Source) *Observer {
 	return &Observer{
 		log:     logger,
-		metrics: newMetrics(sources),
+		metrics: newMetrics(sources, logger),
 		queries: queries{waiting: make(map[uint64]chan effect.Status)},
 	}
 }
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -29,6 +29,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStore(), newBackend())
+	root.AddCommand(newStore(), newBackend(), newRelay(), newCall(), newAudit(), newHTTP())
 	return root
 }
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -9,8 +9,14 @@
 
 // Faults are the faults in force. The zero value is none.
 type Faults struct {
-	// Outage cuts every connection without an answer, waiting watches too.
+	// Outage cuts every connection for keys and leases without an answer,
+	// waiting watches too. The host list is another service of the platform.
 	Outage bool `json:"outage"`
+	// HostsOutage cuts every connection for the host list.
+	HostsOutage bool `json:"hosts_outage"`
+	// HostsFrozen keeps the host list as it was when the fault was switched
+	// on; changes show when it is off.
+	HostsFrozen bool `json:"hosts_frozen"`
 	// LostAnswers is how many of the next writes take effect although their
 	// connection is cut; negative for all.
 	LostAnswers int `json:"lost_answers"`
@@ -23,6 +29,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.hosts.freeze(f.HostsFrozen)
 	close(s.faultsChanged)
 	s.faultsChanged = make(chan struct{})
 }
@@ -52,13 +59,23 @@
 			return
 		}
 		s.pause(r)
-		if f, _ := s.currentFaults(); f.Outage {
+		if s.isOut(r) {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// isOut reports whether the request meets an outage. Changes of the host list
+// come from tests and always pass.
+func (s *Server) isOut(r *http.Request) bool {
+	f, _ := s.currentFaults()
+	if strings.HasPrefix(r.URL.Path, "/v1/hosts") {
+		return f.HostsOutage && r.Method == http.MethodGet
+	}
+	return f.Outage
+}
+
 func (s *Server) pause(r *http.Request) {
 	f, changed := s.currentFaults()
 	if f.DelayMillis <= 0 {
--- a/standin/kv/hosts.go
+++ b/standin/kv/hosts.go
@@ -22,8 +22,20 @@
 }
 
 type hosts struct {
-	mu   sync.Mutex
-	byID map[string]Host
+	mu     sync.Mutex
+	byID   map[string]Host
+	frozen []Host // what is listed instead; nil: the hosts
+}
+
+// freeze keeps the list as it is now until it is called with false.
+func (h *hosts) freeze(on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !on {
+		h.frozen = nil
+	} else if h.frozen == nil {
+		h.frozen = h.sorted()
+	}
 }
 
 func (h *hosts) put(host Host) {
@@ -42,6 +54,13 @@
 func (h *hosts) list() []Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.frozen != nil {
+		return h.frozen
+	}
+	return h.sorted()
+}
+
+func (h *hosts) sorted() []Host {
 	list := make([]Host, 0, len(h.byID))
 	for _, host := range h.byID {
 		list = append(list, host)
--- a/standin/server/answer.go
+++ b/standin/server/answer.go
@@ -64,6 +64,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	if p.truncate {
 		w.Write(a.body[:len(a.body)/2])
+		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	w.Write(a.body)
--- a/standin/server/work.go
+++ b/standin/server/work.go
@@ -13,7 +13,7 @@
 	HeaderRequestID = "Pollensail-Request-Id"
 	HeaderTimeout   = "Pollensail-Timeout"
 	HeaderState     = "Pollensail-Server-State"
-	HeaderLoad      = "Pollensail-Load"         // "in flight/slots"
+	HeaderLoad      = "Pollensail-Load" // "in flight/slots"
 	HeaderShed      = "Pollensail-Shed"
 )
 
