--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -1,7 +1,9 @@
 package kv
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -20,7 +22,8 @@
 	// LostAnswers is how many of the next writes take effect although their
 	// connection is cut; negative for all.
 	LostAnswers int `json:"lost_answers"`
-	// DelayMillis delays every answer.
+	// DelayMillis delays every request before it takes effect. A write whose
+	// sender gave up meanwhile takes effect nevertheless.
 	DelayMillis int `json:"delay_ms"`
 }
 
@@ -58,7 +61,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		s.pause(r)
+		if err := buffer(r); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		s.pause()
 		if s.isOut(r) {
 			panic(http.ErrAbortHandler)
 		}
@@ -76,7 +82,16 @@
 	return f.Outage
 }
 
-func (s *Server) pause(r *http.Request) {
+// buffer reads the body, so that it is there after a delay although the sender
+// has closed the connection.
+func buffer(r *http.Request) error {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return err
+}
+
+// pause waits for the delay or a change of the faults.
+func (s *Server) pause() {
 	f, changed := s.currentFaults()
 	if f.DelayMillis <= 0 {
 		return
@@ -86,7 +101,6 @@
 	select {
 	case <-timer.C:
 	case <-changed:
-	case <-r.Context().Done():
 	}
 }
 
