--- a/host/peer/link.go
+++ b/host/peer/link.go
@@ -122,14 +122,18 @@
 
 // open connects and starts a session.
 func (l *link) open() (*session, error) {
-	dialer := net.Dialer{Timeout: l.peers.config.DialTimeout}
+	config := l.peers.config
+	dialer := net.Dialer{Timeout: config.DialTimeout}
+	if config.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: config.Source}
+	}
 	raw, err := dialer.DialContext(l.ctx, "tcp", l.address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
 	defer cancel()
-	conn, err := l.peers.config.Identity.client(ctx, countedConn{raw, &l.peers.counters}, l.to)
+	conn, err := config.Identity.client(ctx, countedConn{raw, &l.peers.counters}, l.to)
 	if err != nil {
 		raw.Close()
 		return nil, err
--- a/host/peer/peers.go
+++ b/host/peer/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -21,8 +22,11 @@
 
 // Config is what Peers needs.
 type Config struct {
-	Self        model.HostRef
-	Identity    Identity
+	Self     model.HostRef
+	Identity Identity
+	// Source is the address that links come from; nil leaves it to the system.
+	// A host with several addresses is then seen under the one of its settings.
+	Source      net.IP
 	MaxMessage  int           // bytes
 	DialTimeout time.Duration // of a TCP connection
 	Loop        Loop
--- a/host/peer/peers_test.go
+++ b/host/peer/peers_test.go
@@ -22,6 +22,7 @@
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/standin/relay"
 )
 
 // inbox is a Loop that keeps what arrives.
@@ -72,6 +73,7 @@
 	h.Peers = New(ctx, Config{
 		Self:        model.HostRef{ID: id, Incarnation: 7},
 		Identity:    identity,
+		Source:      net.IPv4(127, 0, 0, 7),
 		MaxMessage:  64 << 10,
 		DialTimeout: time.Second,
 		Loop:        h.inbox,
@@ -104,6 +106,18 @@
 	}
 }
 
+// startRelay returns a relay to a host and the address to reach the host by.
+func startRelay(c *qt.C, to *testHost) (*relay.Relay, string) {
+	r := relay.New()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Serve(ctx, listener, to.address); close(done) }()
+	c.Cleanup(func() { cancel(); <-done })
+	return r, listener.Addr().String()
+}
+
 // authority signs certificates of test hosts.
 type authority struct {
 	certificate *x509.Certificate
@@ -240,6 +254,35 @@
 	eventually(c, "delivery", func() bool { send(a, "b", 2); return len(b.inbox) > 0 })
 }
 
+// TestBadLink guards against messages that arrive late, and against a link that
+// stays unusable after the network healed.
+func TestBadLink(t *testing.T) {
+	c := qt.New(t)
+	cases := []struct {
+		name string
+		rule relay.Rule
+		seen func(a, b *testHost) bool // the fault has had its effect
+	}{
+		{"cut", relay.Rule{Cut: true}, func(a, _ *testHost) bool { return a.Counters().Dropped > 0 }},
+		{"requests dropped", relay.Rule{DropForward: true}, func(a, _ *testHost) bool { return a.Counters().Dropped > 0 }},
+		{"stalled", relay.Rule{From: "127.0.0.7", DelayMillis: 1500}, func(_, b *testHost) bool { return b.Counters().Stale > 0 }},
+	}
+	for _, tc := range cases {
+		c.Run(tc.name, func(c *qt.C) {
+			a, b := startHost(c, "a", Identity{}), startHost(c, "b", Identity{})
+			r, address := startRelay(c, b)
+			a.SetHosts([]model.HostEntry{entry("b", address)})
+			send(a, "b", 0)
+			c.Assert(b.inbox.next(c).Message, qt.Equals, message.ClaimIntent{Intent: 0})
+			r.SetRules([]relay.Rule{tc.rule})
+			eventually(c, "fault", func() bool { send(a, "b", 1); return tc.seen(a, b) })
+			c.Assert(b.inbox, qt.HasLen, 0)
+			r.SetRules(nil)
+			eventually(c, "delivery", func() bool { send(a, "b", 2); return len(b.inbox) > 0 })
+		})
+	}
+}
+
 // TestStaleMessageDropped guards against an old heartbeat that makes old
 // knowledge look new after a pause of the receiver.
 func TestStaleMessageDropped(t *testing.T) {
--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/standin/server"
+)
+
+func config(host string) Config {
+	return Config{Hosts: []string{host}, Path: "/x?a=1", Rate: 10_000, Count: 4, Outstanding: 4, Timeout: 5 * time.Second}
+}
+
+// TestRun guards against calls that are counted under the wrong status,
+// verdict or error.
+func TestRun(t *testing.T) {
+	c := qt.New(t)
+	backend := server.New(server.Config{Kind: server.Lookup, Slots: 4, Queue: 4})
+	address, err := backend.Listen("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer backend.Close()
+	cases := []struct {
+		name   string
+		faults server.Faults
+		check  func(c *qt.C, s Summary)
+	}{
+		{"none", server.Faults{}, func(c *qt.C, s Summary) { c.Check(s.OK, qt.Equals, 4) }},
+		{"fail", server.Faults{FailShare: 0.5}, func(c *qt.C, s Summary) {
+			c.Check(s.Statuses, qt.DeepEquals, map[string]int{"200": 2, "500": 2})
+		}},
+		{"truncate", server.Faults{TruncateShare: 1}, func(c *qt.C, s Summary) {
+			c.Check(s.OK, qt.Equals, 0)
+			c.Check(s.Verdicts, qt.DeepEquals, map[string]int{MayHaveRun: 4})
+		}},
+		{"cross", server.Faults{CrossShare: 1}, func(c *qt.C, s Summary) { c.Check(s.Crossed > 0, qt.IsTrue) }},
+		{"refuse", server.Faults{Refuse: true}, func(c *qt.C, s Summary) {
+			c.Check(s.Verdicts, qt.DeepEquals, map[string]int{NotRun: 4})
+		}},
+	}
+	for _, tc := range cases {
+		c.Run(tc.name, func(c *qt.C) {
+			c.Assert(backend.SetFaults(tc.faults), qt.IsNil)
+			calls, unsent, err := Run(context.Background(), config(address))
+			c.Assert(err, qt.IsNil)
+			c.Assert(calls, qt.HasLen, 4)
+			tc.check(c, Summarize(calls, unsent))
+		})
+	}
+}
+
+// TestRetries guards against a caller that sends again what may have run, or
+// with another idempotency key.
+func TestRetries(t *testing.T) {
+	c := qt.New(t)
+	keys := make(map[string]int)
+	verdict := NotRun
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		keys[r.Header.Get("Idempotency-Key")]++
+		w.Header().Set("Pollensail-Verdict", verdict)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.Write([]byte(`{"reason":"isolated"}`))
+	}))
+	defer s.Close()
+	call := config(strings.TrimPrefix(s.URL, "http://"))
+	call.Count, call.Retries, call.Idempotent = 1, 2, true
+	calls, _, err := Run(context.Background(), call)
+	c.Assert(err, qt.IsNil)
+	c.Assert(calls[0].Tries, qt.Equals, 3)
+	c.Assert(calls[0].Reason, qt.Equals, "isolated")
+	c.Assert(calls[0].MayHaveRun, qt.IsFalse)
+	c.Assert(keys, qt.HasLen, 1)
+
+	verdict = MayHaveRun
+	calls, _, err = Run(context.Background(), call)
+	c.Assert(err, qt.IsNil)
+	c.Assert(calls[0].Tries, qt.Equals, 1)
+}
+
+// TestAudit guards against an audit that passes over a broken promise.
+func TestAudit(t *testing.T) {
+	c := qt.New(t)
+	runs := []server.Run{{Business: "a"}, {Business: "b"}, {Business: "b"}}
+	ok := Call{Status: 200, Verdict: Ran, MayHaveRun: true}
+	call := func(business string, change func(*Call)) Call {
+		result := ok
+		result.Business = business
+		change(&result)
+		return result
+	}
+	same := func(*Call) {}
+	cases := []struct {
+		call Call
+		want string
+	}{
+		{call("a", same), ""},
+		{call("b", same), "b: ran 2 times"},
+		{call("c", same), "c: told status 200, did not run"},
+		{call("a", func(c *Call) { c.Status, c.MayHaveRun = 503, false }), "a: told not-run, ran 1 times"},
+		{call("c", func(c *Call) { c.Status, c.MayHaveRun = 503, false }), ""},
+		{call("a", func(c *Call) { c.Crossed = true }), "a: answer of another request"},
+	}
+	for _, tc := range cases {
+		c.Check(strings.Join(Audit([]Call{tc.call}, runs, true), "\n"), qt.Equals, tc.want)
+	}
+	received := []server.Received{{URI: "/"}, {URI: "/", Header: http.Header{"X": {"a secret b"}}}, {URI: "/?secret"}}
+	c.Check(FindKey("secret", received), qt.HasLen, 2)
+}
--- /dev/null
+++ b/standin/server/server_test.go
@@ -0,0 +1,171 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type testServer struct {
+	*Server
+	url string
+}
+
+func start(c *qt.C, config Config) testServer {
+	s := New(config)
+	address, err := s.Listen("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { s.Close() })
+	return testServer{s, "http://" + address}
+}
+
+// get sends a request on a connection of its own.
+func (s testServer) get(path, id string, header ...string) answered {
+	req, _ := http.NewRequest(http.MethodGet, s.url+path, nil)
+	req.Close = true
+	req.Header.Set(HeaderRequestID, id)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answered{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answered{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// TestFaults guards against a stand-in that does not have the fault that a
+// scenario relies on, and against a ledger that does not match.
+func TestFaults(t *testing.T) {
+	c := qt.New(t)
+	cases := []struct {
+		name   string
+		faults Faults
+		ran    int
+		check  func(c *qt.C, a answered)
+	}{
+		{"none", Faults{}, 1, func(c *qt.C, a answered) {
+			c.Check(a.body, qt.Equals, `{"server":"s","request":"r2","business":"b2","length":0}`)
+			c.Check(a.header.Get(HeaderRequestID), qt.Equals, "r2")
+			c.Check(a.header.Get(HeaderLoad), qt.Equals, "1/2")
+		}},
+		{"fail", Faults{FailShare: 1}, 1, func(c *qt.C, a answered) { c.Check(a.status, qt.Equals, 500) }},
+		{"flap", Faults{FlapMillis: 60_000}, 1, func(c *qt.C, a answered) { c.Check(a.status, qt.Equals, 500) }},
+		{"shed", Faults{ShedShare: 1}, 0, func(c *qt.C, a answered) {
+			c.Check(a.status, qt.Equals, 503)
+			c.Check(a.header.Get(HeaderShed), qt.Equals, "not-run")
+		}},
+		{"reset", Faults{ResetShare: 1}, 1, func(c *qt.C, a answered) { c.Check(a.err, qt.IsNotNil) }},
+		{"truncate", Faults{TruncateShare: 1}, 1, func(c *qt.C, a answered) {
+			c.Check(a.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+			c.Check(len(a.body) > 0, qt.IsTrue)
+		}},
+		{"cross", Faults{CrossShare: 1}, 1, func(c *qt.C, a answered) {
+			c.Check(a.header.Get(HeaderRequestID), qt.Equals, "r1")
+			c.Check(strings.Contains(a.body, "b1"), qt.IsTrue)
+		}},
+		{"drain", Faults{Drain: true}, 1, func(c *qt.C, a answered) {
+			c.Check(a.header.Get(HeaderState), qt.Equals, "draining")
+		}},
+		{"refuse", Faults{Refuse: true}, 0, func(c *qt.C, a answered) {
+			c.Check(a.err, qt.ErrorMatches, ".*connection refused")
+		}},
+	}
+	for _, tc := range cases {
+		c.Run(tc.name, func(c *qt.C) {
+			s := start(c, Config{Name: "s", Kind: Lookup, Slots: 2})
+			c.Assert(s.get("/x?business=b1", "r1").status, qt.Equals, 200)
+			before := len(s.Runs())
+			c.Assert(s.SetFaults(tc.faults), qt.IsNil)
+			tc.check(c, s.get("/x?business=b2", "r2"))
+			c.Check(s.Runs()[before:], qt.HasLen, tc.ran)
+			if tc.name == "fail" {
+				c.Check(s.get("/health", "").status, qt.Equals, 200)
+			}
+			c.Assert(s.SetFaults(Faults{}), qt.IsNil)
+			c.Check(s.get("/x", "r3").status, qt.Equals, 200)
+		})
+	}
+}
+
+// TestShare guards against a share that is not spread evenly.
+func TestShare(t *testing.T) {
+	c := qt.New(t)
+	var s share
+	taken := ""
+	for range 9 {
+		taken += map[bool]string{true: "x", false: "."}[s.take(1.0/3)]
+	}
+	c.Assert(taken, qt.Equals, "..x..x..x")
+}
+
+// TestSlots guards against more work at a time than slots, against shed work
+// that ran, and against work that goes on after it was cancelled.
+func TestSlots(t *testing.T) {
+	c := qt.New(t)
+	s := start(c, Config{Kind: Lookup, Slots: 1, Queue: 1, Work: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	for range 2 {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
+		go func() { _, err := http.DefaultClient.Do(req); ended <- err }()
+	}
+	for s.load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(s.get("/", "").status, qt.Equals, 503)
+	c.Assert(s.get("/load", "").body, qt.Equals, "{\"in_flight\":2,\"slots\":1}\n")
+	cancel()
+	<-ended
+	<-ended
+	for s.load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(s.get("/", "", HeaderTimeout, "20ms").status, qt.Equals, 504)
+	stats := s.Stats()
+	c.Assert(stats.Peak, qt.Equals, 1)
+	for _, run := range s.Runs() {
+		c.Assert(run.Finished, qt.IsFalse)
+	}
+}
+
+// TestExport guards against an export whose end cannot be told.
+func TestExport(t *testing.T) {
+	c := qt.New(t)
+	s := start(c, Config{Kind: Export, Slots: 1, Size: 3 * exportChunk})
+	a := s.get("/?business=b", "r")
+	c.Assert(a.err, qt.IsNil)
+	c.Assert(a.body, qt.HasLen, 3*exportChunk+len("end b\n"))
+	c.Assert(strings.HasSuffix(a.body, "end b\n"), qt.IsTrue)
+	c.Assert(s.SetFaults(Faults{TruncateShare: 1}), qt.IsNil)
+	c.Assert(s.get("/", "r").err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
+// TestControl guards against faults that are misspelt and so not in force.
+func TestControl(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{Kind: Lookup, Slots: 1})
+	put := func(body string) int {
+		w := httptest.NewRecorder()
+		s.Control().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/faults", strings.NewReader(body)))
+		return w.Code
+	}
+	c.Assert(put(`{"delay":3}`), qt.Equals, http.StatusBadRequest)
+	c.Assert(put(`{"delay_ms":3}`), qt.Equals, http.StatusOK)
+	c.Assert(s.Faults().DelayMillis, qt.Equals, 3)
+}
