--- a/host/peer/accept.go
+++ b/host/peer/accept.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/model"
 )
 
 const (
@@ -90,12 +91,12 @@
 
 // incoming is the receiving end of one link.
 type incoming struct {
-	peers *Peers
-	check checkFunc
-	// epoch and since are the last two Hellos and when they were answered.
-	epoch [2]uint64
-	since [2]time.Time
-	fault error // of the last call; ends the link
+	peers  *Peers
+	check  checkFunc
+	from   model.HostRef
+	hosts  knownHosts
+	epochs [2]epoch // the last two, by the parity of their number
+	fault  error    // of the last call; ends the link
 }
 
 // serve takes one call at a time, so that messages keep their order and a busy
@@ -122,17 +123,13 @@
 // Service holds the methods that peers call.
 type Service struct{ in *incoming }
 
-// Hello starts an epoch.
-type Hello struct{ Epoch uint64 }
-
 // Ack is the empty answer.
 type Ack struct{}
 
-// Hello notes when the epoch began.
+// Hello begins an epoch. An error drops the link.
 func (s *Service) Hello(h *Hello, _ *Ack) error {
-	i := h.Epoch % 2
-	s.in.epoch[i], s.in.since[i] = h.Epoch, time.Now()
-	return nil
+	s.in.fault = s.in.begin(h)
+	return s.in.fault
 }
 
 // Put takes a message. An error drops the link.
@@ -141,26 +138,50 @@
 	return s.in.fault
 }
 
-func (in *incoming) take(e *Envelope) error {
-	m, err := unwrap(e)
-	if err != nil {
-		return err
+// begin checks the sender and notes when the epoch began.
+func (in *incoming) begin(h *Hello) error {
+	if h.From.ID == "" || (in.from != h.From && !in.from.IsZero()) {
+		return fmt.Errorf("%w: sender %q after %q", errEnvelope, h.From, in.from)
 	}
-	if err := in.check(e.From.ID); err != nil {
-		return fmt.Errorf("sender %q: %w", e.From.ID, err)
+	if err := in.check(h.From.ID); err != nil {
+		return fmt.Errorf("sender %q: %w", h.From.ID, err)
 	}
-	i := e.Epoch % 2
-	if in.epoch[i] != e.Epoch || in.since[i].IsZero() {
+	in.from = h.From
+	in.epochs[h.Epoch%2] = epoch{number: h.Epoch, since: time.Now()}
+	return nil
+}
+
+func (in *incoming) take(e *Envelope) error {
+	epoch := in.epochs[e.Epoch%2]
+	if epoch.number != e.Epoch || epoch.since.IsZero() {
 		return fmt.Errorf("%w: unknown epoch %d", errEnvelope, e.Epoch)
 	}
-	// The sender counts from the arrival of the answer, which is later than
-	// since, so the true age is at most this.
-	age := time.Since(in.since[i]) - time.Duration(e.Sent)*time.Millisecond
-	if age > maxTransit {
+	if e.body == nil {
+		return nil
+	}
+	// Also a message that is too late may name hosts for later ones.
+	m, err := kinds[e.Kind].decode(&in.hosts, e.body)
+	if err != nil {
+		return err
+	}
+	if epoch.age(e.Sent) > maxTransit {
 		in.peers.counters.stale.Add(1)
 		return nil
 	}
 	in.peers.counters.received.Add(1)
-	in.peers.config.Loop.Post(event.PeerReceived{From: e.From, Message: m})
+	in.peers.config.Loop.Post(event.PeerReceived{From: in.from, Message: m})
 	return nil
 }
+
+// epoch is a Hello and when it was answered. Messages that were on their way
+// when a new epoch began still count from the one before.
+type epoch struct {
+	number uint64
+	since  time.Time
+}
+
+// age returns the greatest age that a message can have: the sender counts from
+// the arrival of the answer, which is later than since.
+func (e epoch) age(sent int64) time.Duration {
+	return time.Since(e.since) - time.Duration(sent)*time.Millisecond
+}
--- /dev/null
+++ b/host/peer/bench_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// heartbeat is a full one at the target size.
+func heartbeat() message.Heartbeat {
+	h := message.Heartbeat{Sequence: 1e6, StoreAge: 312 * time.Millisecond, Version: 40_000}
+	for i := range message.MaxHostAges {
+		h.Hosts = append(h.Hosts, message.HostAge{
+			Host: model.HostRef{ID: model.HostID(fmt.Sprint("host-", 100+i)), Incarnation: 1<<62 + uint64(i)},
+			Age:  time.Duration(i) * 37 * time.Millisecond,
+		})
+	}
+	return h
+}
+
+// BenchmarkMessage measures the bytes on the wire of one message on an open
+// link, acknowledgement included, and the time for it to arrive.
+func BenchmarkMessage(b *testing.B) {
+	c := qt.New(b)
+	ca := newAuthority(c)
+	for name, m := range map[string]message.Message{
+		"heartbeat": heartbeat(),
+		"token ask": message.TokenAsk{Ask: 1e6, Slot: model.SlotID{Domain: "d1", Index: 3}, Account: "himal/north", Tokens: 8, Settled: []message.Settlement{{Grant: 1e6, Spent: 8}}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			c := qt.New(b)
+			from, to := startHost(c, "a", ca.identity(c, "a")), startHost(c, "b", ca.identity(c, "b"))
+			from.SetHosts([]model.HostEntry{entry("b", to.address)})
+			send := func() { from.Send(effect.Send{To: "b", Message: m}); to.inbox.next(c) }
+			send()
+			before := from.Counters()
+			b.ReportAllocs()
+			for b.Loop() {
+				send()
+			}
+			after := from.Counters()
+			n := float64(b.N)
+			b.ReportMetric(float64(after.BytesSent-before.BytesSent)/n, "sent-bytes/op")
+			b.ReportMetric(float64(after.BytesReceived-before.BytesReceived)/n, "received-bytes/op")
+		})
+	}
+}
+
+// BenchmarkLink measures what an open link costs: the heap of both ends, and
+// the bytes to open it and send the first message.
+func BenchmarkLink(b *testing.B) {
+	c := qt.New(b)
+	ca := newAuthority(c)
+	const links = 50
+	for range b.N {
+		from := startHost(c, "a", ca.identity(c, "a"))
+		before := heap()
+		var hosts []model.HostEntry
+		var peers []*testHost
+		for i := range links {
+			id := model.HostID(fmt.Sprint("b", i))
+			peers = append(peers, startHost(c, id, ca.identity(c, string(id))))
+			hosts = append(hosts, entry(id, peers[i].address))
+		}
+		idle := heap()
+		from.SetHosts(hosts)
+		for i, p := range peers {
+			from.Send(effect.Send{To: model.HostID(fmt.Sprint("b", i)), Message: heartbeat()})
+			p.inbox.next(c)
+		}
+		b.ReportMetric(float64(idle-before)/links, "host-heap-bytes")
+		b.ReportMetric(float64(heap()-idle)/links, "link-heap-bytes")
+		b.ReportMetric(float64(from.Counters().BytesSent)/links, "sent-bytes/link")
+		b.ReportMetric(float64(from.Counters().BytesReceived)/links, "received-bytes/link")
+		runtime.KeepAlive(peers)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/host/peer/codec.go
+++ b/host/peer/codec.go
@@ -48,6 +48,11 @@
 	if err := c.encoder.Encode(body); err != nil {
 		return c.fail(err)
 	}
+	if e, ok := body.(*Envelope); ok {
+		if err := c.encoder.Encode(e.body); err != nil {
+			return c.fail(err)
+		}
+	}
 	frame := c.out.Bytes()
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeader))
 	_, err := c.conn.Write(frame)
@@ -65,8 +70,9 @@
 }
 
 // keptBuffer is the capacity in bytes of a buffer that is kept for the next
-// frame, so that one large handover does not stay in memory.
-const keptBuffer = 64 << 10
+// frame. At the target size a host has up to 1,300 links, so that the buffers
+// of a rare large message must not stay in memory.
+const keptBuffer = 2 << 10
 
 func (c *codec) shrink() {
 	if c.out.Cap() > keptBuffer {
@@ -95,6 +101,22 @@
 	return c.decode(header)
 }
 
+// readBody decodes what follows the header, with an envelope its message too.
+func (c *codec) readBody(body any) error {
+	if err := c.decode(body); err != nil {
+		return err
+	}
+	e, ok := body.(*Envelope)
+	if !ok {
+		return nil
+	}
+	if e.Kind < 0 || e.Kind >= len(kinds) {
+		return c.decode(nil) // of a newer release; take passes over it
+	}
+	e.body = kinds[e.Kind].fresh()
+	return c.decode(e.body)
+}
+
 // decode decodes the next value of the frame. A fault of the decoder on input
 // that was made to break it must not end the process.
 func (c *codec) decode(into any) (err error) {
@@ -118,11 +140,11 @@
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error    { return c.read(r) }
-func (c clientCodec) ReadResponseBody(body any) error             { return c.decode(body) }
+func (c clientCodec) ReadResponseBody(body any) error             { return c.readBody(body) }
 
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct{ *codec }
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error        { return c.read(r) }
-func (c serverCodec) ReadRequestBody(body any) error                { return c.decode(body) }
+func (c serverCodec) ReadRequestBody(body any) error                { return c.readBody(body) }
--- a/host/peer/envelope_test.go
+++ b/host/peer/envelope_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"math"
 	"net/rpc"
 	"reflect"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -24,7 +26,7 @@
 
 // messages has one of each type, with the zero value where it must survive.
 var messages = []message.Message{
-	message.Heartbeat{Sequence: 3, StoreAge: -1, Hosts: []message.HostAge{{Host: model.HostRef{ID: "h", Incarnation: 1 << 63}, Age: 5}}},
+	message.Heartbeat{Sequence: 3, StoreAge: -1, Hosts: []message.HostAge{{Host: model.HostRef{ID: "h", Incarnation: 1 << 63}, Age: time.Second}}},
 	message.TokenAsk{Ask: 1, Settled: []message.Settlement{{Grant: 2, Spent: 3}}},
 	message.TokenGrant{NotOwner: true},
 	message.Claim{Fingerprint: model.Fingerprint{0: 255, 15: 1}},
@@ -46,78 +48,148 @@
 	message.HandoverCommitAck{},
 }
 
-// TestEveryMessageTravels guards against a message type that the envelope has
-// no field for or that changes on the way.
+// put writes a message as a session does.
+func put(c *codec, hosts *sendHosts, m message.Message) error {
+	kind, ok := kindOf(m)
+	if !ok {
+		return errEnvelope
+	}
+	return c.write(&rpc.Request{ServiceMethod: methodPut}, &Envelope{Kind: kind, body: kinds[kind].encode(hosts, m)})
+}
+
+// take reads a message as a link does.
+func take(c *codec, hosts *knownHosts) (message.Message, error) {
+	var e Envelope
+	if err := c.read(&rpc.Request{}); err != nil {
+		return nil, err
+	}
+	if err := c.readBody(&e); err != nil || e.body == nil {
+		return nil, err
+	}
+	return kinds[e.Kind].decode(hosts, e.body)
+}
+
+// TestEveryMessageTravels guards against a message type that has no wire form,
+// has a new number, or changes on the way.
 func TestEveryMessageTravels(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(len(messages), qt.Equals, reflect.TypeFor[Envelope]().NumField()-3)
+	c.Assert(messages, qt.HasLen, len(kinds))
 	p := &pipe{}
 	sender, receiver := newCodec(p, 1<<20), newCodec(p, 1<<20)
-	for _, m := range messages {
-		e, err := wrap(model.HostRef{ID: "a"}, m)
-		c.Assert(err, qt.IsNil)
-		c.Assert(sender.write(&rpc.Request{ServiceMethod: methodPut}, e), qt.IsNil)
-		var header rpc.Request
-		var got Envelope
-		c.Assert(receiver.read(&header), qt.IsNil)
-		c.Assert(receiver.decode(&got), qt.IsNil)
-		back, err := unwrap(&got)
+	for i, m := range messages {
+		kind, _ := kindOf(m)
+		c.Assert(kind, qt.Equals, i)
+		c.Assert(put(sender, &sendHosts{}, m), qt.IsNil)
+		got, err := take(receiver, &knownHosts{})
 		c.Assert(err, qt.IsNil)
-		c.Assert(back, qt.DeepEquals, m)
+		c.Assert(got, qt.DeepEquals, m)
 	}
 }
 
-// TestUnwrapRefuses guards against envelopes that carry nothing, two messages
-// or a forged shard.
-func TestUnwrapRefuses(t *testing.T) {
+// TestNewerRelease guards against a link that breaks where a host of a newer
+// release sends a type of message that this one does not know.
+func TestNewerRelease(t *testing.T) {
 	c := qt.New(t)
-	from := model.HostRef{ID: "a"}
-	for want, e := range map[string]*Envelope{
-		".*no sender":    {ClaimIntent: &message.ClaimIntent{}},
-		".*0 messages.*": {From: from},
-		".*2 messages.*": {From: from, ClaimIntent: &message.ClaimIntent{}, ShardAsk: &message.ShardAsk{}},
-		".*has hash.*":   {From: from, Shards: &Shards{Shards: []Shard{{Hash: "forged", Encoded: testShard.Encoded}}}},
+	p := &pipe{}
+	sender, receiver := newCodec(p, 1<<20), newCodec(p, 1<<20)
+	unknown := &Envelope{Kind: len(kinds), body: &struct{ X int }{1}}
+	c.Assert(sender.write(&rpc.Request{ServiceMethod: methodPut}, unknown), qt.IsNil)
+	c.Assert(put(sender, &sendHosts{}, message.ClaimIntent{Intent: 1}), qt.IsNil)
+	m, err := take(receiver, &knownHosts{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(m, qt.IsNil)
+	m, err = take(receiver, &knownHosts{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(m, qt.Equals, message.ClaimIntent{Intent: 1})
+}
+
+// TestBrokenContent guards against taking a forged shard, or a heartbeat about
+// hosts that were never named.
+func TestBrokenContent(t *testing.T) {
+	c := qt.New(t)
+	known := &knownHosts{refs: []model.HostRef{{ID: "h"}}}
+	for _, h := range []*Heartbeat{
+		{Hosts: []byte{1, 0}},
+		{Hosts: []byte{0}},
+		{Hosts: bytes.Repeat([]byte{0, 0}, message.MaxHostAges+1)},
+		{Slots: []SlotOwned{{Owner: 1}}},
+		{Added: make([]model.HostRef, maxKnownHosts)},
 	} {
-		_, err := unwrap(e)
-		c.Assert(err, qt.ErrorMatches, want)
+		_, err := decodeHeartbeat(known, h)
+		c.Check(err, qt.ErrorIs, errEnvelope)
 	}
+	_, err := decodeShards(nil, &Shards{Shards: []Shard{{Hash: "forged", Encoded: testShard.Encoded}}})
+	c.Assert(err, qt.ErrorMatches, ".*has hash.*")
 }
 
-// TestHeartbeatTravels guards against heartbeats that lose a value, whatever
-// they hold.
-func TestHeartbeatTravels(t *testing.T) {
+// TestHeartbeats guards against heartbeats that lose a value or confuse hosts,
+// over many on one link, and against ages that become smaller.
+func TestHeartbeats(t *testing.T) {
+	age := func(t *rapid.T) time.Duration { return time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "age")) }
+	ref := func(t *rapid.T) model.HostRef {
+		return model.HostRef{ID: model.HostID(rapid.StringN(1, 3, -1).Draw(t, "host")), Incarnation: rapid.Uint64Range(0, 5).Draw(t, "life")}
+	}
 	rapid.Check(t, func(t *rapid.T) {
-		want := message.Heartbeat{
-			Sequence: rapid.Uint64().Draw(t, "sequence"),
-			Version:  rapid.Uint64().Draw(t, "version"),
-			Stopping: rapid.Bool().Draw(t, "stopping"),
-			Leaving:  rapid.SliceOfN(rapid.Custom(func(t *rapid.T) model.ServerID { return model.ServerID(rapid.String().Draw(t, "server")) }), 1, 5).Draw(t, "leaving"),
-		}
 		p := &pipe{}
-		e, _ := wrap(model.HostRef{ID: "a"}, want)
-		if err := newCodec(p, 1<<20).write(&rpc.Request{}, e); err != nil {
-			t.Fatal(err)
-		}
-		var got Envelope
-		receiver := newCodec(p, 1<<20)
-		if err := receiver.read(&rpc.Request{}); err != nil {
-			t.Fatal(err)
-		}
-		if err := receiver.decode(&got); err != nil {
-			t.Fatal(err)
-		}
-		if !reflect.DeepEqual(*got.Heartbeat, want) {
-			t.Fatalf("got %v, want %v", *got.Heartbeat, want)
+		sender, receiver := newCodec(p, 1<<20), newCodec(p, 1<<20)
+		sent, known := &sendHosts{}, &knownHosts{}
+		for range rapid.IntRange(1, 10).Draw(t, "heartbeats") {
+			want := message.Heartbeat{
+				Sequence: rapid.Uint64().Draw(t, "sequence"),
+				StoreAge: age(t),
+				Version:  rapid.Uint64().Draw(t, "version"),
+				Stopping: rapid.Bool().Draw(t, "stopping"),
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "hosts") {
+				want.Hosts = append(want.Hosts, message.HostAge{Host: ref(t), Age: age(t)})
+				want.Slots = append(want.Slots, message.SlotOwned{Owner: ref(t), Term: 1, Age: age(t)})
+			}
+			if err := put(sender, sent, want); err != nil {
+				t.Fatal(err)
+			}
+			got, err := take(receiver, known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if want := rounded(want); !reflect.DeepEqual(got, want) {
+				t.Fatalf("got %v, want %v", got, want)
+			}
 		}
 	})
 }
 
+// rounded rounds ages up to milliseconds.
+func rounded(h message.Heartbeat) message.Heartbeat {
+	up := func(d time.Duration) time.Duration {
+		return time.Duration(math.Ceil(float64(d)/1e6)) * time.Millisecond
+	}
+	h.StoreAge = up(h.StoreAge)
+	for i := range h.Hosts {
+		h.Hosts[i].Age = up(h.Hosts[i].Age)
+		h.Slots[i].Age = up(h.Slots[i].Age)
+	}
+	return h
+}
+
+// TestKnownHostsBounded guards against a link whose list of hosts grows with
+// each restart in the fleet.
+func TestKnownHostsBounded(t *testing.T) {
+	c := qt.New(t)
+	sent, known := &sendHosts{}, &knownHosts{}
+	for life := range uint64(2 * maxKnownHosts) {
+		host := model.HostRef{ID: "h", Incarnation: life}
+		m, err := decodeHeartbeat(known, encodeHeartbeat(sent, message.Heartbeat{Hosts: []message.HostAge{{Host: host}}}))
+		c.Assert(err, qt.IsNil)
+		c.Assert(m.(message.Heartbeat).Hosts[0].Host, qt.Equals, host)
+	}
+	c.Assert(len(known.refs) <= maxKnownHosts, qt.IsTrue)
+}
+
 // FuzzIncoming guards against bytes of a peer that end the process.
 func FuzzIncoming(f *testing.F) {
 	for _, m := range messages {
 		p := &pipe{}
-		e, _ := wrap(model.HostRef{ID: "a"}, m)
-		if err := newCodec(p, 1<<20).write(&rpc.Request{ServiceMethod: methodPut, Seq: 1}, e); err != nil {
+		if err := put(newCodec(p, 1<<20), &sendHosts{}, m); err != nil {
 			f.Fatal(err)
 		}
 		f.Add(p.Bytes())
@@ -126,15 +198,9 @@
 		p := &pipe{}
 		p.Write(data)
 		c := newCodec(p, 64<<10)
-		for {
-			var header rpc.Request
-			var e Envelope
-			if err := c.read(&header); err != nil {
-				return
-			}
-			if c.decode(&e) == nil {
-				unwrap(&e)
-			}
+		known := &knownHosts{}
+		for p.Len()+c.reader.Buffered() > 0 {
+			take(c, known)
 		}
 	})
 }
--- a/host/peer/link.go
+++ b/host/peer/link.go
@@ -8,12 +8,14 @@
 	"net/rpc"
 	"time"
 
+	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
 )
 
 const (
-	// queueLength bounds the messages that wait for a link.
-	queueLength = 1024
+	// queueLength bounds the messages that wait for a link; the queues of 650
+	// idle links have 1.3 MB.
+	queueLength = 256
 	// minBackoff and maxBackoff bound the time between two tries to connect.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -24,27 +26,28 @@
 	peers   *Peers
 	to      model.HostID
 	address string
-	queue   chan queued
+	queue   chan *queued
 	ctx     context.Context
 	close   context.CancelFunc
 }
 
 // queued is a message and when it was handed over.
 type queued struct {
-	envelope *Envelope
-	at       time.Time
+	kind    int
+	message message.Message
+	at      time.Time
 }
 
 func newLink(p *Peers, to model.HostID, address string) *link {
-	l := &link{peers: p, to: to, address: address, queue: make(chan queued, queueLength)}
+	l := &link{peers: p, to: to, address: address, queue: make(chan *queued, queueLength)}
 	l.ctx, l.close = context.WithCancel(p.ctx)
 	return l
 }
 
 // push queues a message and reports false when the queue is full.
-func (l *link) push(e *Envelope) bool {
+func (l *link) push(q *queued) bool {
 	select {
-	case l.queue <- queued{envelope: e, at: time.Now()}:
+	case l.queue <- q:
 		return true
 	default:
 		return false
@@ -76,7 +79,7 @@
 
 // use connects and sends until the connection ends. It reports whether the
 // peer took anything.
-func (l *link) use(first queued) (works bool, err error) {
+func (l *link) use(first *queued) (works bool, err error) {
 	s, err := l.open()
 	if err != nil {
 		l.peers.counters.dropped.Add(1)
@@ -94,12 +97,12 @@
 }
 
 // await returns the next message, false when the link is closed.
-func (l *link) await() (queued, bool) {
+func (l *link) await() (*queued, bool) {
 	select {
 	case q := <-l.queue:
 		return q, true
 	case <-l.ctx.Done():
-		return queued{}, false
+		return nil, false
 	}
 }
 
--- a/host/peer/peers.go
+++ b/host/peer/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -86,13 +87,13 @@
 // for a full queue is dropped. The message must not be changed afterwards,
 // because it is encoded in another goroutine.
 func (p *Peers) Send(f effect.Send) {
-	e, err := wrap(p.config.Self, f.Message)
-	if err != nil {
-		p.config.Log.Error().Err(err).Msg("message not sent")
+	kind, ok := kindOf(f.Message)
+	if !ok {
+		p.config.Log.Error().Str("type", fmt.Sprintf("%T", f.Message)).Msg("message has no wire form")
 		return
 	}
 	l := p.link(f.To)
-	if l == nil || !l.push(e) {
+	if l == nil || !l.push(&queued{kind: kind, message: f.Message, at: time.Now()}) {
 		p.counters.dropped.Add(1)
 	}
 }
--- a/host/peer/peers_test.go
+++ b/host/peer/peers_test.go
@@ -291,15 +291,12 @@
 	in := &incoming{peers: b.Peers, check: func(model.HostID) error { return nil }}
 	service := &Service{in}
 	put := func(sent time.Duration) error {
-		e, err := wrap(model.HostRef{ID: "a"}, message.Heartbeat{Sequence: 1})
-		c.Assert(err, qt.IsNil)
-		e.Epoch, e.Sent = 1, sent.Milliseconds()
-		return service.Put(e, &Ack{})
+		return service.Put(&Envelope{Epoch: 1, Sent: sent.Milliseconds(), body: &Heartbeat{}}, &Ack{})
 	}
 	c.Assert(put(0), qt.ErrorMatches, ".*unknown epoch 1")
-	c.Assert(service.Hello(&Hello{Epoch: 1}, &Ack{}), qt.IsNil)
+	c.Assert(service.Hello(&Hello{From: model.HostRef{ID: "a"}, Epoch: 1}, &Ack{}), qt.IsNil)
 	// As if the receiver had slept for 30 s after its answer.
-	in.since[1] = time.Now().Add(-30 * time.Second)
+	in.epochs[1].since = time.Now().Add(-30 * time.Second)
 	c.Assert(put(28*time.Second), qt.IsNil)
 	c.Assert(b.inbox, qt.HasLen, 0)
 	c.Assert(b.Counters().Stale, qt.Equals, uint64(1))
--- a/host/peer/session.go
+++ b/host/peer/session.go
@@ -9,7 +9,7 @@
 
 const (
 	// window bounds the messages that wait for their acknowledgement.
-	window = 256
+	window = 128
 	// ackTimeout closes a link on which nothing was acknowledged for this
 	// long although something waits.
 	ackTimeout = 3 * time.Second
@@ -42,6 +42,7 @@
 	done    chan *rpc.Call
 	waiting int  // calls without an answer
 	works   bool // something was acknowledged
+	hosts   sendHosts
 	epoch   uint64
 	base    time.Time // arrival of the answer to the Hello of this epoch
 }
@@ -52,7 +53,7 @@
 }
 
 // run sends messages until the connection fails, stalls or is idle.
-func (s *session) run(first queued) error {
+func (s *session) run(first *queued) error {
 	if err := s.hello(); err != nil {
 		return err
 	}
@@ -104,7 +105,7 @@
 }
 
 // send writes a message, after a new Hello where one is due.
-func (s *session) send(q queued) error {
+func (s *session) send(q *queued) error {
 	if time.Since(s.base) > helloPeriod {
 		if err := s.hello(); err != nil {
 			return err
@@ -114,10 +115,14 @@
 		s.link.peers.counters.dropped.Add(1)
 		return nil
 	}
-	q.envelope.Epoch = s.epoch
-	q.envelope.Sent = q.at.Sub(s.base).Milliseconds()
+	e := &Envelope{
+		Epoch: s.epoch,
+		Sent:  q.at.Sub(s.base).Milliseconds(),
+		Kind:  q.kind,
+		body:  kinds[q.kind].encode(&s.hosts, q.message),
+	}
 	s.waiting++
-	s.client.Go(methodPut, q.envelope, &Ack{}, s.done)
+	s.client.Go(methodPut, e, &Ack{}, s.done)
 	s.link.peers.counters.sent.Add(1)
 	return nil
 }
@@ -127,7 +132,7 @@
 func (s *session) hello() error {
 	timer := time.AfterFunc(ackTimeout, func() { s.conn.Close() })
 	defer timer.Stop()
-	if err := s.client.Call(methodHello, &Hello{Epoch: s.epoch + 1}, &Ack{}); err != nil {
+	if err := s.client.Call(methodHello, &Hello{From: s.link.peers.config.Self, Epoch: s.epoch + 1}, &Ack{}); err != nil {
 		return err
 	}
 	s.epoch++
