--- /dev/null
+++ b/decision/configuration/compile.go
@@ -0,0 +1,48 @@
+package configuration
+
+import (
+	"maps"
+	"slices"
+)
+
+// Compile returns the snapshot of a tree. Equal trees give equal snapshots.
+// With problems the snapshot is nil.
+func Compile(tree Tree, version uint64) (*Snapshot, Problems) {
+	b := NewBuild(version)
+	inner := innerBranches(tree)
+	paths := slices.Sorted(maps.Keys(tree.Branches))
+	for _, p := range paths {
+		if inner[p] {
+			b.addInner(p, tree.Branches[p])
+		}
+	}
+	for _, p := range paths {
+		if !inner[p] {
+			b.addObject(p, tree.Branches[p])
+		}
+	}
+	return b.Finish()
+}
+
+// Validate returns every problem of a tree, sorted by branch.
+func Validate(tree Tree) Problems {
+	_, problems := Compile(tree, 0)
+	return problems
+}
+
+// innerBranches returns the paths that have branches below them, and the root
+// and the top branches, which are never objects.
+func innerBranches(tree Tree) map[Path]bool {
+	inner := map[Path]bool{"": true, TopAccounts: true, TopRoutes: true, TopServices: true}
+	for p := range tree.Branches {
+		markInner(inner, p)
+	}
+	return inner
+}
+
+// markInner adds the branches above p.
+func markInner(inner map[Path]bool, p Path) {
+	for q := p.Parent(); !inner[q]; q = q.Parent() {
+		inner[q] = true
+	}
+}
--- a/decision/state.go
+++ b/decision/state.go
@@ -28,6 +28,7 @@
 	refusals map[refusalKey]uint64
 	ready    bool
 	stopping bool
+	drained  bool // the callers' port is closed
 
 	config  configState
 	limits  limitState
