--- a/host/telemetry/log.go
+++ b/host/telemetry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/phuslu/log"
@@ -35,16 +36,34 @@
 // Lost returns how many lines were lost.
 func (l *Logger) Lost() uint64 { return l.output.lost.Load() }
 
-// Close writes what waits. Nothing may be logged afterwards.
-func (l *Logger) Close() error { return l.output.async.Close() }
+// Close writes what waits. Lines that come later are lost.
+func (l *Logger) Close() error { return l.output.close() }
 
 type countingWriter struct {
-	async log.AsyncWriter
-	lost  atomic.Uint64
+	async  log.AsyncWriter
+	lost   atomic.Uint64
+	mu     sync.RWMutex // keeps lines out of a closed channel
+	closed bool
+}
+
+func (w *countingWriter) close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return nil
+	}
+	w.closed = true
+	return w.async.Close()
 }
 
 // WriteEntry implements log.Writer.
 func (w *countingWriter) WriteEntry(e *log.Entry) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.lost.Add(1)
+		return 0, nil
+	}
 	n, err := w.async.WriteEntry(e)
 	if err != nil {
 		w.lost.Add(1)
--- a/host/telemetry/telemetry_test.go
+++ b/host/telemetry/telemetry_test.go
@@ -146,7 +146,7 @@
 func (w blockedWriter) Write(p []byte) (int, error) { <-w; return len(p), nil }
 
 // TestBlockedOutput guards against a log output that blocks the control
-// goroutine.
+// goroutine, and against a line after Close that ends the process.
 func TestBlockedOutput(t *testing.T) {
 	c := qt.New(t)
 	w := make(blockedWriter)
@@ -157,4 +157,6 @@
 	c.Assert(logger.Lost() > 0, qt.IsTrue)
 	close(w)
 	c.Assert(logger.Close(), qt.IsNil)
+	// Links of other hosts may log until the end of the process.
+	logger.Info().Msg("late")
 }
