--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
 	"time"
+
+	"pollensail.dev/standin/jsonhttp"
 )
 
 // Faults are the faults in force. The zero value is none.
@@ -106,16 +107,12 @@
 
 func (s *Server) servePutFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	if jsonhttp.Read(w, r, &f) {
+		s.SetFaults(f)
 	}
-	s.SetFaults(f)
 }
 
 func (s *Server) serveFaults(w http.ResponseWriter, _ *http.Request) {
 	f, _ := s.currentFaults()
-	writeJSON(w, f)
+	jsonhttp.Write(w, f)
 }
--- a/standin/kv/hosts.go
+++ b/standin/kv/hosts.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
+
+	"pollensail.dev/standin/jsonhttp"
 )
 
 // Host is one entry of the host list.
@@ -71,19 +72,15 @@
 
 func (s *Server) serveHosts(w http.ResponseWriter, _ *http.Request) {
 	s.calls.Hosts.Add(1)
-	writeJSON(w, s.hosts.list())
+	jsonhttp.Write(w, s.hosts.list())
 }
 
 func (s *Server) servePutHost(w http.ResponseWriter, r *http.Request) {
 	var host Host
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&host); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	if jsonhttp.Read(w, r, &host) {
+		host.ID = r.PathValue("id")
+		s.hosts.put(host)
 	}
-	host.ID = r.PathValue("id")
-	s.hosts.put(host)
 }
 
 func (s *Server) serveDeleteHost(_ http.ResponseWriter, r *http.Request) {
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pollensail.dev/standin/jsonhttp"
 )
 
 // maxValue is the platform's limit for a value in bytes.
@@ -78,7 +79,7 @@
 	}
 }
 
-func (s *Server) serveCalls(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) }
+func (s *Server) serveCalls(w http.ResponseWriter, _ *http.Request) { jsonhttp.Write(w, s.Calls()) }
 
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
@@ -169,8 +170,3 @@
 }
 
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(v)
-}
--- a/standin/server/probe.go
+++ b/standin/server/probe.go
@@ -1,6 +1,10 @@
 package server
 
-import "net/http"
+import (
+	"net/http"
+
+	"pollensail.dev/standin/jsonhttp"
+)
 
 // Load is the JSON of /load.
 type Load struct {
@@ -23,5 +27,5 @@
 
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s.stamp(w)
-	writeJSON(w, Load{InFlight: s.load(), Slots: s.config.Slots})
+	jsonhttp.Write(w, Load{InFlight: s.load(), Slots: s.config.Slots})
 }
