--- a/standin/kv/hosts.go
+++ b/standin/kv/hosts.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
+
+	"pollensail.dev/standin/jsonhttp"
 )
 
 // Host is one entry of the host list.
@@ -22,8 +23,20 @@
 }
 
 type hosts struct {
-	mu   sync.Mutex
-	byID map[string]Host
+	mu     sync.Mutex
+	byID   map[string]Host
+	frozen []Host // what is listed instead; nil: the hosts
+}
+
+// freeze keeps the list as it is now until it is called with false.
+func (h *hosts) freeze(on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !on {
+		h.frozen = nil
+	} else if h.frozen == nil {
+		h.frozen = h.sorted()
+	}
 }
 
 func (h *hosts) put(host Host) {
@@ -42,6 +55,13 @@
 func (h *hosts) list() []Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.frozen != nil {
+		return h.frozen
+	}
+	return h.sorted()
+}
+
+func (h *hosts) sorted() []Host {
 	list := make([]Host, 0, len(h.byID))
 	for _, host := range h.byID {
 		list = append(list, host)
@@ -52,19 +72,15 @@
 
 func (s *Server) serveHosts(w http.ResponseWriter, _ *http.Request) {
 	s.calls.Hosts.Add(1)
-	writeJSON(w, s.hosts.list())
+	jsonhttp.Write(w, s.hosts.list())
 }
 
 func (s *Server) servePutHost(w http.ResponseWriter, r *http.Request) {
 	var host Host
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&host); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	if jsonhttp.Read(w, r, &host) {
+		host.ID = r.PathValue("id")
+		s.hosts.put(host)
 	}
-	host.ID = r.PathValue("id")
-	s.hosts.put(host)
 }
 
 func (s *Server) serveDeleteHost(_ http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/standin/relay/control.go
@@ -0,0 +1,22 @@
+package relay
+
+import (
+	"net/http"
+
+	"pollensail.dev/standin/jsonhttp"
+)
+
+// Control returns a handler that gets and puts the rules as JSON at /rules.
+func (r *Relay) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rules", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, r.Rules())
+	})
+	mux.HandleFunc("PUT /rules", func(w http.ResponseWriter, req *http.Request) {
+		var rules []Rule
+		if jsonhttp.Read(w, req, &rules) {
+			r.SetRules(rules)
+		}
+	})
+	return mux
+}
