--- a/host/peer/peers.go
+++ b/host/peer/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -21,8 +23,11 @@
 
 // Config is what Peers needs.
 type Config struct {
-	Self        model.HostRef
-	Identity    Identity
+	Self     model.HostRef
+	Identity Identity
+	// Source is the address that links come from; nil leaves it to the system.
+	// A host with several addresses is then seen under the one of its settings.
+	Source      net.IP
 	MaxMessage  int           // bytes
 	DialTimeout time.Duration // of a TCP connection
 	Loop        Loop
@@ -82,13 +87,13 @@
 // for a full queue is dropped. The message must not be changed afterwards,
 // because it is encoded in another goroutine.
 func (p *Peers) Send(f effect.Send) {
-	e, err := wrap(p.config.Self, f.Message)
-	if err != nil {
-		p.config.Log.Error().Err(err).Msg("message not sent")
+	kind, ok := kindOf(f.Message)
+	if !ok {
+		p.config.Log.Error().Str("type", fmt.Sprintf("%T", f.Message)).Msg("message has no wire form")
 		return
 	}
 	l := p.link(f.To)
-	if l == nil || !l.push(e) {
+	if l == nil || !l.push(&queued{kind: kind, message: f.Message, at: time.Now()}) {
 		p.counters.dropped.Add(1)
 	}
 }
