--- a/host/treefile/encode.go
+++ b/host/treefile/encode.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/BurntSushi/toml"
 
@@ -39,17 +40,70 @@
 // encodeBranch writes the branch as a table. The root has no header; it comes
 // first because its path is the least.
 func encodeBranch(b *bytes.Buffer, p configuration.Path, settings configuration.Settings) error {
-	table := make(map[string]any, len(settings))
-	for name, value := range settings {
-		table[name] = encodeValue(p, name, value)
+	if p != "" {
+		if err := encodeHeader(b, p); err != nil {
+			return err
+		}
 	}
-	if p == "" {
-		return encodeTable(b, table)
+	for _, name := range slices.Sorted(maps.Keys(settings)) {
+		if err := encodeSetting(b, name, encodeValue(p, name, settings[name])); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+func encodeHeader(b *bytes.Buffer, p configuration.Path) error {
 	if b.Len() > 0 {
 		b.WriteByte('\n')
 	}
-	return encodeTable(b, map[string]any{string(p): table})
+	return encodeTable(b, map[string]any{string(p): map[string]any{}})
+}
+
+// encodeSetting writes a list that is too long for a line with one value a
+// line.
+func encodeSetting(b *bytes.Buffer, name string, value any) error {
+	list, ok := value.([]string)
+	if !ok || len(list) < 2 || len(name)+listLength(list) <= maxLine {
+		return encodeTable(b, map[string]any{name: value})
+	}
+	return encodeLongList(b, name, list)
+}
+
+// maxLine is the length in bytes above which a list is broken into lines.
+const maxLine = 90
+
+// listLength returns the length of a list in one line.
+func listLength(list []string) int {
+	n := len(" = []")
+	for _, v := range list {
+		n += len(v) + len(`"", `)
+	}
+	return n
+}
+
+func encodeLongList(b *bytes.Buffer, name string, list []string) error {
+	if err := encodeTable(b, map[string]any{name: []string{}}); err != nil {
+		return err
+	}
+	b.Truncate(b.Len() - len("]\n"))
+	b.WriteByte('\n')
+	for _, v := range list {
+		quoted, err := quote(v)
+		if err != nil {
+			return err
+		}
+		b.WriteString("  " + quoted + ",\n")
+	}
+	b.WriteString("]\n")
+	return nil
+}
+
+// quote returns a text as a TOML string.
+func quote(v string) (string, error) {
+	var b bytes.Buffer
+	err := encodeTable(&b, map[string]any{"v": v})
+	return strings.TrimSpace(strings.TrimPrefix(b.String(), "v = ")), err
 }
 
 func encodeTable(b *bytes.Buffer, table map[string]any) error {
--- a/host/treefile/treefile_test.go
+++ b/host/treefile/treefile_test.go
@@ -51,6 +51,7 @@
 	values := rapid.OneOf(
 		rapid.SampledFrom([]string{"", "5", "05", "true", "a\nb", "a\n\nb", "\n", `"`, "20/s"}),
 		rapid.StringMatching(`[ -~\n]{0,12}`),
+		rapid.StringMatching(`([ -~]{1,50}\n){3}[ -~]{1,50}`),
 	)
 	paths := rapid.SampledFrom([]configuration.Path{"accounts", "accounts/a", "routes/x.y", "services/s", "odd/ [path]"})
 	rapid.Check(t, func(t *rapid.T) {
