--- a/decision/config.go
+++ b/decision/config.go
@@ -8,6 +8,7 @@
 	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/membership"
 	"pollensail.dev/decision/model"
 )
 
@@ -37,9 +38,12 @@
 	root    configuration.Root             // in force; version 0: none
 	encoded map[string]configuration.Shard // of root and target by hash, without Branches
 	target  configTarget
-	// seen is the newest version that this host has heard of. No older one is
-	// put in force.
+	next    configOffer // newer than the target; starts after it
+	// seen is the newest version that this host has heard of.
 	seen uint64
+	// behindSince is when this host last was at the version that it had heard
+	// of, or last came nearer to it.
+	behindSince model.Instant
 	// behind counts the ticks since a version was heard of that is not on its
 	// way.
 	behind int
@@ -120,6 +124,7 @@
 	s.followStore()
 	s.followPeers()
 	s.retryShards()
+	s.updateReady()
 }
 
 // followStore keeps the watch going and repeats a read that failed.
@@ -156,58 +161,108 @@
 	return max(c.root.Version, c.target.root.Version, c.rejected)
 }
 
-// considerRoot makes a root the target if it is newer than what the host has.
-// from is the peer that offered it, empty for the store.
+// considerRoot makes a root the target if it is newer than what the host has. A
+// host that serves an older version lets a target that is moving complete first,
+// so that it comes forward however fast edits follow each other.
 func (s *State) considerRoot(root configuration.Root, from model.HostID) {
 	c := &s.config
-	c.seen = max(c.seen, root.Version)
-	if root.Version == c.seen && root.Version > c.newest() {
-		s.startTarget(root, from)
-		return
+	s.heardVersion(root.Version)
+	offer := configOffer{root, from}
+	switch {
+	case root.Version <= c.newest():
+		s.confirmTarget(offer)
+	case c.root.Version > 0 && c.target.isMoving():
+		if root.Version > c.next.root.Version {
+			c.next = offer
+		}
+	default:
+		s.startTarget(offer, 0)
 	}
-	if from == "" && root.Version == c.target.root.Version {
-		c.target.from = "" // the store confirms what a peer offered
+}
+
+// confirmTarget takes note that the store holds what a peer offered.
+func (s *State) confirmTarget(offer configOffer) {
+	t := &s.config.target
+	if offer.from == "" && offer.root.Version == t.root.Version {
+		t.from = ""
 		s.completeTarget()
 	}
 }
 
-// mayTrustTarget reports whether the target is known to be the newest version.
-// The store's always is. A host without a configuration that has only peers to
-// ask waits for most of them, because a single one may lag behind.
-func (s *State) mayTrustTarget() bool {
+func (s *State) heardVersion(version uint64) {
 	c := &s.config
-	if c.target.root.Version < c.seen {
+	if s.isCurrent() {
+		c.behindSince = s.now
+	}
+	c.seen = max(c.seen, version)
+}
+
+// isCurrent reports whether no newer version than the one in force was heard
+// of, except for a rejected one.
+func (s *State) isCurrent() bool {
+	inForce := uint64(0)
+	if s.snapshot != nil {
+		inForce = s.snapshot.Version
+	}
+	return s.config.seen <= max(inForce, s.config.rejected)
+}
+
+// behindLimit is how long a host serves by a version that it knows to be
+// replaced. Longer, and a withdrawn key would work on there.
+const behindLimit = 3 * time.Second
+
+// isConfigBehind reports whether the host fails to get a version that others
+// have, as behind a line that is cut in one direction. While the store is down
+// for all, nobody may be able to get it, and valid keys go on working.
+func (s *State) isConfigBehind() bool {
+	c := &s.config
+	if s.isCurrent() || s.now.Sub(c.behindSince) <= behindLimit {
 		return false
 	}
-	return c.target.from == "" || c.root.Version > 0 || 2*len(c.told) > len(c.peers)
+	return s.limits.members.Authority(s.now).Authority == membership.Connected
+}
+
+// mayTrustTarget reports whether the target may be put in force. For a host
+// with a configuration that is any newer version. A host without one takes the
+// newest that it has heard of, from the store; with only peers to ask, it waits
+// for most of them, because a single one may lag behind.
+func (s *State) mayTrustTarget() bool {
+	c := &s.config
+	if c.root.Version > 0 {
+		return true
+	}
+	isNewest := c.target.root.Version >= c.seen
+	return isNewest && (c.target.from == "" || 2*len(c.told) > len(c.peers))
 }
 
 func (s *State) putInForce(root configuration.Root, snapshot *configuration.Snapshot) {
 	c := &s.config
 	c.root = root
+	c.behindSince = s.now
 	c.dropShards()
 	clear(c.told)
 	s.snapshot = snapshot
 	s.notice(effect.NoticeVersion, fmt.Sprintf("version %d", root.Version))
 	s.offerVersion()
 	s.serversConfigured()
-	s.becomeReady()
+	s.updateReady()
 }
 
-func (s *State) becomeReady() {
-	if s.ready || s.stopping {
-		return
+// updateReady lets the balancer send requests while this host can serve them.
+func (s *State) updateReady() {
+	isReady := s.snapshot != nil && !s.stopping && !s.isIsolated() && !s.isConfigBehind()
+	if isReady && !s.ready {
+		s.notice(effect.NoticeReady, "")
 	}
-	s.setReady(true)
-	s.notice(effect.NoticeReady, "")
+	s.setReady(isReady)
 }
 
 // maxNoticeLines bounds the problems that a notice repeats.
 const maxNoticeLines = 5
 
-// rejectTarget keeps the version in force, because the target does not
+// rejectVersion keeps the version in force, because a newer one does not
 // validate.
-func (s *State) rejectTarget(version uint64, problems configuration.Problems) {
+func (s *State) rejectVersion(version uint64, problems configuration.Problems) {
 	c := &s.config
 	c.rejected = version
 	c.dropShards()
--- a/decision/config_fleet_test.go
+++ b/decision/config_fleet_test.go
@@ -33,6 +33,7 @@
 	want     map[uint64]*configuration.Snapshot // nil: the version is invalid
 	watches  map[*fleettest.Host]bool
 	inForce  map[model.HostRef]uint64
+	ready    map[model.HostRef]bool
 	rejected int
 	reads    int // of shards in the store
 }
@@ -46,6 +47,7 @@
 		want:    make(map[uint64]*configuration.Snapshot),
 		watches: make(map[*fleettest.Host]bool),
 		inForce: make(map[model.HostRef]uint64),
+		ready:   make(map[model.HostRef]bool),
 	}
 	s.edit(sampleTree())
 	o := fleettest.Options{Seed: seed, Line: line, Intercept: s.intercept}
@@ -93,7 +95,7 @@
 	s.root, s.tree = root, tree
 	s.want[root.Version], _ = configuration.Compile(tree, root.Version)
 	for h := range s.watches {
-		s.answer(h, s.rootRead)
+		s.answer(h, s.rootRead(h))
 	}
 	clear(s.watches)
 }
@@ -122,14 +124,17 @@
 func (s *treeStore) intercept(h *fleettest.Host, f effect.Effect) bool {
 	switch f := f.(type) {
 	case effect.ReadRoot:
-		s.answer(h, s.rootRead)
+		s.answer(h, s.rootRead(h))
 	case effect.WatchRoot:
 		s.watch(h, f.After)
 	case effect.ReadShards:
 		s.reads += len(f.Hashes)
-		s.answer(h, func() event.Body { return s.shardsRead(f.Hashes) })
+		s.answer(h, func() event.Body { return s.shardsRead(h, f.Hashes) })
 	case effect.DecodeShards:
 		s.fleet.After(time.Millisecond, func() { h.Post(event.ShardsRead{Shards: s.decode(f.Shards)}) })
+	case effect.SetReady:
+		s.ready[h.Ref] = f.Ready
+		return false
 	case effect.Send:
 		s.decodeSent(f.Message)
 		return false
@@ -148,30 +153,41 @@
 	s.fleet.After(delay, func() { h.Post(body()) })
 }
 
-func (s *treeStore) rootRead() event.Body {
-	if s.fleet.Store.Down {
-		return event.RootRead{Error: event.StoreUnavailable}
+// fails reports whether the host gets no answer of the store.
+func (s *treeStore) fails(h *fleettest.Host) bool {
+	return s.fleet.Store.Down || s.fleet.Store.Unreachable[h.Ref.ID]
+}
+
+func (s *treeStore) rootRead(h *fleettest.Host) func() event.Body {
+	return func() event.Body {
+		if s.fails(h) {
+			return event.RootRead{Error: event.StoreUnavailable}
+		}
+		return event.RootRead{Root: s.root, StoreVersion: s.root.Version}
 	}
-	return event.RootRead{Root: s.root, StoreVersion: s.root.Version}
 }
 
 func (s *treeStore) watch(h *fleettest.Host, after uint64) {
-	if s.fleet.Store.Down || s.root.Version > after {
-		s.answer(h, s.rootRead)
+	if s.fails(h) || s.root.Version > after {
+		s.answer(h, s.rootRead(h))
 		return
 	}
 	s.watches[h] = true
 }
 
-func (s *treeStore) shardsRead(hashes []string) event.Body {
-	if s.fleet.Store.Down {
+func (s *treeStore) shardsRead(h *fleettest.Host, hashes []string) event.Body {
+	if s.fails(h) {
 		return event.ShardsRead{Error: event.StoreUnavailable}
 	}
-	var shards []configuration.Shard
+	var read event.ShardsRead
 	for _, hash := range hashes {
-		shards = append(shards, s.shards[hash])
+		if shard, ok := s.shards[hash]; ok {
+			read.Shards = append(read.Shards, shard)
+		} else {
+			read.Broken = append(read.Broken, hash)
+		}
 	}
-	return event.ShardsRead{Shards: shards}
+	return read
 }
 
 func (s *treeStore) decode(shards []configuration.Shard) []configuration.Shard {
@@ -284,9 +300,7 @@
 	var longest time.Duration
 	before := s.reads
 	for range 20 {
-		tree := s.tree.Clone()
-		tree.Set(account(s.rand.IntN(sampleAccounts)), "burst", fmt.Sprint(s.root.Version))
-		s.edit(tree)
+		s.set(account(s.rand.IntN(sampleAccounts)), "burst", fmt.Sprint(s.root.Version))
 		from := s.fleet.Now
 		c.Assert(s.settles(propagation), qt.IsTrue, qt.Commentf("%v", s.versions()))
 		longest = max(longest, s.fleet.Now-from)
@@ -322,19 +336,96 @@
 	c.Assert(s.settles(10*time.Second), qt.IsTrue, qt.Commentf("%v", s.versions()))
 }
 
-// TestInvalidVersionIsNotApplied guards against a tree that does not validate
-// taking the place of the one in force.
-func TestInvalidVersionIsNotApplied(t *testing.T) {
-	c := qt.New(t)
-	s := newTreeFleet(t, 3, 4, fleettest.Line{})
-	c.Assert(s.settles(20*time.Second), qt.IsTrue)
-	s.fleet.Run(30 * time.Second)
+// TestBadVersionIsNotApplied guards against a tree that does not validate, or
+// that is not there in full, taking the place of the one in force.
+func TestBadVersionIsNotApplied(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(s *treeStore)
+	}{
+		{"invalid", func(s *treeStore) { s.set("routes/rings", "unknown", "1") }},
+		{"a shard is missing", func(s *treeStore) {
+			s.set("services/lookup", "slots", "9")
+			for _, ref := range s.root.Shards {
+				if ref.Name == configuration.TopServices {
+					delete(s.shards, ref.Hash)
+				}
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTreeFleet(t, 3, 4, fleettest.Line{})
+			s.c.Assert(s.settles(20*time.Second), qt.IsTrue)
+			s.fleet.Run(30 * time.Second)
+			tc.edit(s)
+			s.fleet.Run(propagation)
+			s.c.Assert(s.versions(), qt.DeepEquals, []uint64{1, 1, 1})
+			s.c.Assert(s.rejected > 0, qt.IsTrue)
+			s.c.Assert(s.unready(), qt.Equals, 0)
+			s.edit(sampleTree())
+			s.c.Assert(s.settles(propagation), qt.IsTrue)
+		})
+	}
+}
+
+// set edits one setting.
+func (s *treeStore) set(p configuration.Path, name, value string) {
 	tree := s.tree.Clone()
-	tree.Set("routes/rings", "unknown", "1")
+	tree.Set(p, name, value)
 	s.edit(tree)
+}
+
+// unready counts the living hosts that the balancer is not to use.
+func (s *treeStore) unready() int {
+	n := 0
+	for _, entry := range s.fleet.Options.Hosts {
+		if h := s.fleet.Hosts[model.HostID(entry.ID)]; h.Alive() && !s.ready[h.Ref] {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEditsInQuickSuccession guards against hosts that never complete a
+// version because the next one comes first.
+func TestEditsInQuickSuccession(t *testing.T) {
+	line := fleettest.Line{Loss: 0.01, MinDelay: 5 * time.Millisecond, MaxDelay: 10 * time.Millisecond}
+	s := newTreeFleet(t, 8, 5, line)
+	s.c.Assert(s.settles(20*time.Second), qt.IsTrue)
+	s.fleet.Run(30 * time.Second)
+	for i := range 200 {
+		s.set(account(i), "burst", fmt.Sprint(i+1))
+		s.fleet.Run(20 * time.Millisecond)
+		s.c.Assert(s.unready(), qt.Equals, 0)
+	}
+	s.c.Assert(slices.Min(s.versions())+50 > s.root.Version, qt.IsTrue, qt.Commentf("%v, want %d", s.versions(), s.root.Version))
+	s.c.Assert(s.settles(propagation), qt.IsTrue)
+}
+
+// TestHostThatCannotAskStopsServing guards against a withdrawn key that works
+// on at a host that hears others but reaches nobody.
+func TestHostThatCannotAskStopsServing(t *testing.T) {
+	s := newTreeFleet(t, 8, 6, fleettest.Line{MaxDelay: 5 * time.Millisecond})
+	s.c.Assert(s.settles(20*time.Second), qt.IsTrue)
+	s.fleet.Run(30 * time.Second)
+	mute := s.fleet.Hosts["h3"]
+	s.fleet.Store.Unreachable["h3"] = true
+	for _, entry := range s.fleet.Options.Hosts {
+		s.fleet.Cut[fleettest.Direction{From: "h3", To: model.HostID(entry.ID)}] = true
+	}
+	s.set(account(0), "keys", "")
 	s.fleet.Run(propagation)
-	c.Assert(s.versions(), qt.DeepEquals, []uint64{1, 1, 1})
-	c.Assert(s.rejected > 0, qt.IsTrue)
-	s.edit(sampleTree())
-	c.Assert(s.settles(propagation), qt.IsTrue)
+	s.c.Assert(s.inForce[mute.Ref], qt.Equals, uint64(1))
+	s.c.Assert(s.ready[mute.Ref], qt.IsFalse)
+	s.c.Assert(s.unready(), qt.Equals, 1)
+	before := len(s.fleet.Outcomes)
+	s.fleet.Request("h3", event.RequestArrived{HasKey: true, Key: sha256.Sum256([]byte(account(0))), Method: "GET", Path: "/rings"})
+	s.fleet.Run(time.Second)
+	s.c.Assert(s.fleet.Outcomes[before].Reason, qt.Equals, model.ReasonIsolated)
+	clear(s.fleet.Cut)
+	clear(s.fleet.Store.Unreachable)
+	s.c.Assert(s.settles(propagation), qt.IsTrue)
+	s.fleet.Run(time.Second)
+	s.c.Assert(s.unready(), qt.Equals, 0)
 }
--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -66,8 +66,9 @@
 	if version == 0 {
 		return
 	}
-	if version > c.seen {
-		c.seen = version
+	isNews := version > c.seen
+	s.heardVersion(version)
+	if isNews {
 		s.want(from.ID)
 	}
 	if c.root.Version == 0 && slices.Contains(c.peers, from.ID) {
--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -25,13 +25,18 @@
 	maxShardTimeouts = 16
 )
 
-// configTarget is the newest root that is known whole and not in force yet.
+// configOffer is a whole root.
+type configOffer struct {
+	root configuration.Root
+	// from is the peer that offered it; empty: it came from the store.
+	from model.HostID
+}
+
+// configTarget is the root that is on its way to being in force.
 // Its shards are fetched and compiled some at a time; the snapshot in force
 // stays as it is until all are. The zero value is no target.
 type configTarget struct {
-	root configuration.Root
-	// from is the peer that offered the root; empty: it came from the store.
-	from  model.HostID
+	configOffer
 	build *configuration.Build
 	// pending are the shards that are not compiled, first those of inner
 	// branches, which the others need.
@@ -40,9 +45,12 @@
 	askedAt model.Instant // the last question
 }
 
-func (s *State) startTarget(root configuration.Root, from model.HostID) {
+// startTarget begins to fetch the shards of a root. tries is greater than 0
+// after another root could not be had from the peer that offered it.
+func (s *State) startTarget(offer configOffer, tries int) {
 	c := &s.config
-	c.target = configTarget{root: root, from: from}
+	root := offer.root
+	c.target = configTarget{configOffer: offer, tries: tries}
 	if s.snapshot != nil && configuration.CanRebuild(c.root, root) {
 		c.target.build = configuration.Rebuild(s.snapshot, c.root, root)
 		c.target.pending = configuration.ChangedShards(c.root, root)
@@ -70,8 +78,21 @@
 	return 1
 }
 
+// isMoving reports whether the shards of the target arrive without delay.
+func (t *configTarget) isMoving() bool { return t.build != nil && t.tries == 0 }
+
+// startNext makes the newest root that was offered the target, if it is newer.
+func (s *State) startNext(tries int) {
+	c := &s.config
+	next := c.next
+	c.next = configOffer{}
+	if next.root.Version > c.newest() {
+		s.startTarget(next, tries)
+	}
+}
+
 // completeTarget puts the target in force once all its shards are compiled and
-// it is known to be the newest.
+// it may be trusted.
 func (s *State) completeTarget() {
 	c := &s.config
 	if c.target.build == nil || len(c.target.pending) > 0 || !s.mayTrustTarget() {
@@ -81,10 +102,11 @@
 	c.target = configTarget{}
 	snapshot, problems := build.Finish()
 	if len(problems) > 0 {
-		s.rejectTarget(root.Version, problems)
-		return
+		s.rejectVersion(root.Version, problems)
+	} else {
+		s.putInForce(root, snapshot)
 	}
-	s.putInForce(root, snapshot)
+	s.startNext(0)
 }
 
 // fetchShards asks for the next pending shards: for the decoding of those that
@@ -156,10 +178,32 @@
 		return
 	}
 	t.tries++
+	if s.config.next.root.Version > t.root.Version {
+		tries := t.tries
+		s.config.target = configTarget{}
+		s.startNext(tries)
+		return
+	}
 	s.fetchShards()
 }
 
-func (s *State) onShardsRead(e event.ShardsRead) { s.takeShards(e.Shards) }
+func (s *State) onShardsRead(e event.ShardsRead) {
+	s.takeShards(e.Shards)
+	for _, ref := range s.config.target.pending {
+		if slices.Contains(e.Broken, ref.Hash) {
+			s.rejectBroken(ref)
+			return
+		}
+	}
+}
+
+// rejectBroken gives up the target because one of its shards cannot be had.
+func (s *State) rejectBroken(ref configuration.ShardRef) {
+	version := s.config.target.root.Version
+	s.config.target = configTarget{}
+	s.rejectVersion(version, configuration.Problems{{Expected: "shard " + ref.Name + " with content of hash " + ref.Hash}})
+	s.startNext(0)
+}
 
 func (s *State) onShards(from model.HostRef, m message.Shards) {
 	for _, shard := range m.Shards {
--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -109,10 +109,13 @@
 	Error        StoreError
 }
 
-// ShardsRead answers effect.ReadShards. Shards that could not be read or do
-// not match their hash are missing.
+// ShardsRead answers effect.ReadShards and effect.DecodeShards. Shards that
+// could not be read are missing.
 type ShardsRead struct {
 	Shards []configuration.Shard
+	// Broken are the hashes of those that the store does not have, or whose
+	// content is not in the expected form.
+	Broken []string
 	Error  StoreError
 }
 
--- a/decision/request.go
+++ b/decision/request.go
@@ -103,7 +103,7 @@
 // authorize checks the request's key against the snapshot in force. It runs
 // again before each forward, because a key may be withdrawn in between.
 func (s *State) authorize(r *request) model.Reason {
-	if s.isIsolated() {
+	if s.isIsolated() || s.isConfigBehind() {
 		return model.ReasonIsolated
 	}
 	if r.route.Open {
--- a/host/store/caller.go
+++ b/host/store/caller.go
@@ -138,7 +138,7 @@
 		})
 	}
 	wait.Wait()
-	c.postShards(shards, errs)
+	c.postShards(f.Hashes, shards, errs)
 }
 
 // decodeShards decodes shards that the reducer holds, away from the control
@@ -146,13 +146,15 @@
 func (c *Caller) decodeShards(f effect.DecodeShards) {
 	shards := make([]configuration.Shard, len(f.Shards))
 	errs := make([]error, len(f.Shards))
+	hashes := make([]string, len(f.Shards))
 	for i, shard := range f.Shards {
+		hashes[i] = shard.Hash
 		shards[i], errs[i] = DecodeShard(shard.Hash, shard.Encoded)
 	}
-	c.postShards(shards, errs)
+	c.postShards(hashes, shards, errs)
 }
 
-func (c *Caller) postShards(shards []configuration.Shard, errs []error) {
+func (c *Caller) postShards(hashes []string, shards []configuration.Shard, errs []error) {
 	answer := event.ShardsRead{}
 	for i, err := range errs {
 		if err == nil {
@@ -160,9 +162,11 @@
 			continue
 		}
 		c.note(err)
-		if !errors.Is(err, ErrBroken) {
-			answer.Error = event.StoreUnavailable
+		if errors.Is(err, ErrBroken) {
+			answer.Broken = append(answer.Broken, hashes[i])
+			continue
 		}
+		answer.Error = event.StoreUnavailable
 	}
 	c.loop.Post(answer)
 }
