--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -53,7 +53,7 @@
   list_host "$address" "{\"id\":\"$address\",\"role\":\"backend\",\"domain\":\"$domain\",\"service\":\"$service\"}"
 }
 
-list_host() { curl -sf -X PUT "http://$STORE/v1/hosts/$1" -d "$2" >/dev/null; }
+list_host() { bin/standin http PUT "$STORE/v1/hosts/$1" "$2" >/dev/null; }
 
 # start_host NAME DOMAIN: an entry host, listed by the platform. Writes its
 # addresses to DIR/NAME.addr.
@@ -90,7 +90,31 @@
 # started_port NAME PORT: an address from the line that a host logs at its start.
 started_port() { sed -n "s/.*\"$2\":\"\([0-9.:]*\)\".*\"host started\".*/\1/p" "$DIR/$1.log"; }
 
-is_ready() { curl -sf "http://$(announced "$1" operator)/readyz"; }
+wait_ready() { bin/standin http GET "$(announced "$1" operator)/readyz" --within 10s >/dev/null; }
+
+# fault NAME JSON: switches the faults of a backend server.
+fault() { bin/standin http PUT "$(announced "$1" control)/faults" "$2" >/dev/null; }
+
+# store_fault JSON: switches the faults of the store.
+store_fault() { bin/standin http PUT "$STORE/standin/faults" "$1" >/dev/null; }
+
+# callers: the addresses of the named hosts for callers, separated by commas.
+callers() {
+  local list=() name
+  for name in "$@"; do
+    list+=("$(announced "$name" caller)")
+  done
+  (IFS=,; echo "${list[*]}")
+}
+
+# controls: the control addresses of the named servers, separated by commas.
+controls() {
+  local list=() name
+  for name in "$@"; do
+    list+=("$(announced "$name" control)")
+  done
+  (IFS=,; echo "${list[*]}")
+}
 
 stop_all() {
   kill "${PIDS[@]}" 2>/dev/null
