--- a/host/peer/accept.go
+++ b/host/peer/accept.go
@@ -169,6 +169,7 @@
 		return nil
 	}
 	in.peers.counters.received.Add(1)
+	in.peers.counters.kinds[e.Kind].received.Add(1)
 	in.peers.config.Loop.Post(event.PeerReceived{From: in.from, Message: m})
 	return nil
 }
--- a/host/peer/codec.go
+++ b/host/peer/codec.go
@@ -25,7 +25,8 @@
 type codec struct {
 	conn    io.ReadWriteCloser
 	reader  *bufio.Reader
-	limit   int // bytes of a received frame
+	limit   int    // bytes of a received frame
+	written uint64 // bytes; for the goroutine that writes
 	out     bytes.Buffer
 	in      bytes.Buffer
 	encoder *gob.Encoder
@@ -55,10 +56,10 @@
 	}
 	frame := c.out.Bytes()
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeader))
-	_, err := c.conn.Write(frame)
-	if err != nil {
+	if _, err := c.conn.Write(frame); err != nil {
 		return c.fail(err)
 	}
+	c.written += uint64(len(frame))
 	c.shrink()
 	return nil
 }
--- a/host/peer/counters.go
+++ b/host/peer/counters.go
@@ -15,9 +15,22 @@
 	Stale         uint64 // messages received too late
 	Refused       uint64 // incoming links dropped for a broken message or identity
 	Links         int64  // open links, both directions
+	// Kinds counts the messages of each type, in the order of the wire.
+	Kinds []KindCounters
 }
 
+// KindCounters count the messages of one type.
+type KindCounters struct {
+	Name      string
+	Sent      uint64
+	BytesSent uint64 // before TLS, acknowledgements excluded
+	Received  uint64
+}
+
+type kindCounters struct{ sent, bytesSent, received atomic.Uint64 }
+
 type counters struct {
+	kinds                    []kindCounters // one for each of kinds
 	bytesSent, bytesReceived atomic.Uint64
 	sent, received, dropped  atomic.Uint64
 	stale, refused           atomic.Uint64
@@ -34,7 +47,21 @@
 		Stale:         c.stale.Load(),
 		Refused:       c.refused.Load(),
 		Links:         c.links.Load(),
+		Kinds:         c.readKinds(),
+	}
+}
+
+func (c *counters) readKinds() []KindCounters {
+	counts := make([]KindCounters, len(kinds))
+	for i := range kinds {
+		counts[i] = KindCounters{
+			Name:      kinds[i].of.Name(),
+			Sent:      c.kinds[i].sent.Load(),
+			BytesSent: c.kinds[i].bytesSent.Load(),
+			Received:  c.kinds[i].received.Load(),
+		}
 	}
+	return counts
 }
 
 // countedConn counts the bytes of a connection.
--- a/host/peer/link.go
+++ b/host/peer/link.go
@@ -142,8 +142,9 @@
 		return nil, err
 	}
 	l.peers.counters.links.Add(1)
-	s := &session{link: l, conn: conn, done: make(chan *rpc.Call, window+1)}
-	s.client = rpc.NewClientWithCodec(clientCodec{newCodec(deadlineConn{conn}, maxAnswer)})
+	c := newCodec(deadlineConn{conn}, maxAnswer)
+	s := &session{link: l, conn: conn, codec: c, done: make(chan *rpc.Call, window+1)}
+	s.client = rpc.NewClientWithCodec(clientCodec{c})
 	return s, nil
 }
 
--- a/host/peer/peers.go
+++ b/host/peer/peers.go
@@ -54,6 +54,7 @@
 	}
 	return &Peers{
 		config:    config,
+		counters:  counters{kinds: make([]kindCounters, len(kinds))},
 		ctx:       ctx,
 		addresses: make(map[model.HostID]string),
 		links:     make(map[model.HostID]*link),
--- a/host/peer/session.go
+++ b/host/peer/session.go
@@ -38,6 +38,7 @@
 type session struct {
 	link    *link
 	conn    net.Conn
+	codec   *codec
 	client  *rpc.Client
 	done    chan *rpc.Call
 	waiting int  // calls without an answer
@@ -122,11 +123,19 @@
 		body:  kinds[q.kind].encode(&s.hosts, q.message),
 	}
 	s.waiting++
+	written := s.codec.written
 	s.client.Go(methodPut, e, &Ack{}, s.done)
-	s.link.peers.counters.sent.Add(1)
+	s.count(q.kind, s.codec.written-written)
 	return nil
 }
 
+func (s *session) count(kind int, bytes uint64) {
+	c := &s.link.peers.counters
+	c.sent.Add(1)
+	c.kinds[kind].sent.Add(1)
+	c.kinds[kind].bytesSent.Add(bytes)
+}
+
 // hello starts an epoch and waits for the answer. It closes the connection
 // when none arrives.
 func (s *session) hello() error {
--- a/host/telemetry/metrics.go
+++ b/host/telemetry/metrics.go
@@ -54,6 +54,8 @@
 type Source struct {
 	Name string // without the prefix "pollensail_"
 	Help string
+	// Labels tell apart sources of one name; each has the same label names.
+	Labels map[string]string
 	// Gauge is true where the value may fall.
 	Gauge bool
 	Read  func() float64
@@ -149,10 +151,11 @@
 }
 
 func (s Source) collector() prometheus.Collector {
+	opts := prometheus.Opts{Namespace: "pollensail", Name: s.Name, Help: s.Help, ConstLabels: s.Labels}
 	if s.Gauge {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pollensail_" + s.Name, Help: s.Help}, s.Read)
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts(opts), s.Read)
 	}
-	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pollensail_" + s.Name, Help: s.Help}, s.Read)
+	return prometheus.NewCounterFunc(prometheus.CounterOpts(opts), s.Read)
 }
 
 // refuses reports whether the account has no place in this generation.
