Carry every field of a heartbeat

The compact form left out Echo, Young and Intents, which were added meanwhile; every answer was then taken for a question and hosts answered each other without end (9,000 heartbeats a second between four hosts). TestNoFieldLost now fills each field of each message.

--- a/host/peer/envelope_test.go
+++ b/host/peer/envelope_test.go
@@ -86,6 +86,63 @@
 	}
 }
 
+// TestNoFieldLost guards against a field of a message, added later, that its
+// wire form leaves out. A heartbeat without Echo made hosts answer each other
+// without end.
+func TestNoFieldLost(t *testing.T) {
+	c := qt.New(t)
+	for _, m := range messages {
+		if _, ok := m.(message.Shards); ok {
+			continue // travels in its encoded form, see TestEveryMessageTravels
+		}
+		full := reflect.New(reflect.TypeOf(m)).Elem()
+		fill(full)
+		want := full.Interface().(message.Message)
+		p := &pipe{}
+		c.Assert(put(newCodec(p, 1<<20), &sendHosts{}, want), qt.IsNil)
+		got, err := take(newCodec(p, 1<<20), &knownHosts{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.DeepEquals, want)
+	}
+}
+
+// fill sets every field to a value that is not zero; numbers are whole
+// milliseconds.
+func fill(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem())
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0))
+	case reflect.Array:
+		fill(v.Index(0))
+	case reflect.Map:
+		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+		fill(key)
+		fill(value)
+		v.Set(reflect.MakeMap(v.Type()))
+		v.SetMapIndex(key, value)
+	case reflect.String:
+		v.SetString("x")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(0.5)
+	case reflect.Uint8:
+		v.SetUint(1)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(3e6)
+	default:
+		v.SetUint(3e6)
+	}
+}
+
 // TestNewerRelease guards against a link that breaks where a host of a newer
 // release sends a type of message that this one does not know.
 func TestNewerRelease(t *testing.T) {
@@ -109,7 +166,7 @@
 	c := qt.New(t)
 	known := &knownHosts{refs: []model.HostRef{{ID: "h"}}}
 	for _, h := range []*Heartbeat{
-		{Hosts: []byte{1, 0}},
+		{Hosts: []byte{2, 0}},
 		{Hosts: []byte{0}},
 		{Hosts: bytes.Repeat([]byte{0, 0}, message.MaxHostAges+1)},
 		{Slots: []SlotOwned{{Owner: 1}}},
@@ -141,7 +198,7 @@
 				Stopping: rapid.Bool().Draw(t, "stopping"),
 			}
 			for range rapid.IntRange(0, 5).Draw(t, "hosts") {
-				want.Hosts = append(want.Hosts, message.HostAge{Host: ref(t), Age: age(t)})
+				want.Hosts = append(want.Hosts, message.HostAge{Host: ref(t), Age: age(t), Young: rapid.Bool().Draw(t, "young")})
 				want.Slots = append(want.Slots, message.SlotOwned{Owner: ref(t), Term: 1, Age: age(t)})
 			}
 			if err := put(sender, sent, want); err != nil {
@@ -163,7 +220,6 @@
 	up := func(d time.Duration) time.Duration {
 		return time.Duration(math.Ceil(float64(d)/1e6)) * time.Millisecond
 	}
-	h.StoreAge = up(h.StoreAge)
 	for i := range h.Hosts {
 		h.Hosts[i].Age = up(h.Hosts[i].Age)
 		h.Slots[i].Age = up(h.Slots[i].Age)
--- a/host/peer/heartbeat.go
+++ b/host/peer/heartbeat.go
@@ -14,19 +14,17 @@
 const maxKnownHosts = 4096
 
 // Heartbeat is the wire form of message.Heartbeat. It names hosts by their
-// index in a list that both ends of a link keep, and ages in milliseconds,
-// rounded up. A heartbeat with 64 hosts has 1.9 KB without this, which is too
-// much for three a second.
+// index in a list that both ends of a link keep, and their ages in
+// milliseconds, rounded up. A heartbeat with 64 hosts has 1.9 KB without this,
+// which is too much for a few a second.
 type Heartbeat struct {
-	Sequence uint64
-	StoreAge int64 // milliseconds; -1: none known
-	Version  uint64
-	Stopping bool
-	Leaving  []model.ServerID
+	// Rest is the message without Hosts and Slots.
+	Rest message.Heartbeat
 	// Forget empties the list of known hosts before Added is appended.
 	Forget bool
 	Added  []model.HostRef
-	// Hosts has two unsigned varints for each host: its index and its age.
+	// Hosts has two unsigned varints for each host: twice its index, plus 1
+	// for a young one, and its age.
 	Hosts []byte
 	Slots []SlotOwned
 }
@@ -58,22 +56,14 @@
 
 func encodeHeartbeat(known *sendHosts, m message.Message) any {
 	from := m.(message.Heartbeat)
-	h := &Heartbeat{
-		Sequence: from.Sequence,
-		StoreAge: -1,
-		Version:  from.Version,
-		Stopping: from.Stopping,
-		Leaving:  from.Leaving,
-	}
-	if from.StoreAge >= 0 {
-		h.StoreAge = int64(roundUp(from.StoreAge))
-	}
+	h := &Heartbeat{Rest: from}
+	h.Rest.Hosts, h.Rest.Slots = nil, nil
 	if known.index == nil || len(known.index)+len(from.Hosts)+len(from.Slots) > maxKnownHosts {
 		known.index = make(map[model.HostRef]uint64)
 		h.Forget = true
 	}
 	for _, host := range from.Hosts {
-		h.Hosts = binary.AppendUvarint(h.Hosts, known.refer(h, host.Host))
+		h.Hosts = binary.AppendUvarint(h.Hosts, known.refer(h, host.Host)<<1|bit(host.Young))
 		h.Hosts = binary.AppendUvarint(h.Hosts, roundUp(host.Age))
 	}
 	for _, s := range from.Slots {
@@ -82,6 +72,13 @@
 	return h
 }
 
+func bit(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // roundUp returns an age in whole milliseconds that is not below it.
 func roundUp(age time.Duration) uint64 {
 	if age <= 0 {
@@ -112,16 +109,8 @@
 		return nil, fmt.Errorf("%w: more than %d known hosts", errEnvelope, maxKnownHosts)
 	}
 	known.refs = append(known.refs, h.Added...)
-	m := message.Heartbeat{
-		Sequence: h.Sequence,
-		StoreAge: -1,
-		Version:  h.Version,
-		Stopping: h.Stopping,
-		Leaving:  h.Leaving,
-	}
-	if h.StoreAge >= 0 {
-		m.StoreAge = milliseconds(uint64(h.StoreAge))
-	}
+	m := h.Rest
+	m.Hosts, m.Slots = nil, nil
 	if err := decodeHosts(known, h.Hosts, &m); err != nil {
 		return nil, err
 	}
@@ -138,11 +127,11 @@
 		if k <= 0 || len(m.Hosts) >= message.MaxHostAges {
 			return fmt.Errorf("%w: hosts", errEnvelope)
 		}
-		ref, err := known.host(index)
+		ref, err := known.host(index >> 1)
 		if err != nil {
 			return err
 		}
-		m.Hosts = append(m.Hosts, message.HostAge{Host: ref, Age: milliseconds(age)})
+		m.Hosts = append(m.Hosts, message.HostAge{Host: ref, Age: milliseconds(age), Young: index&1 == 1})
 		data = data[n+k:]
 	}
 	return nil
