--- a/decision/health/coordinator.go
+++ b/decision/health/coordinator.go
@@ -99,8 +99,8 @@
 
 func tallyOf(e message.ServerEvidence) tally {
 	t := tally{OK: e.OK - e.Slow}
-	t.Bad[failing] = e.Failed
-	t.Bad[slow] = e.Slow
+	t.Bad[failing] = e.Failed - e.TimedOut
+	t.Bad[late] = e.Slow + e.TimedOut
 	return t
 }
 
--- a/decision/health/finding.go
+++ b/decision/health/finding.go
@@ -15,8 +15,9 @@
 const (
 	Nothing Finding = iota
 	OK
-	Slow // whole, but far slower than the pool's median
-	Failed
+	Slow     // whole, but far slower than the pool's median
+	TimedOut // no answer by the caller's deadline
+	Failed   // any other failure that the server causes
 )
 
 const (
@@ -28,7 +29,7 @@
 	// medianCount is the number of answers before the median is used.
 	medianCount = 20
 	// timeoutMinimum is the shortest attempt whose timeout counts against the
-	// server. Below it the caller asked for too much.
+	// server. Below it, or below the median, the caller asked for too much.
 	timeoutMinimum = 100 * time.Millisecond
 )
 
@@ -43,6 +44,8 @@
 	return l
 }
 
+func (l *latencies) add(class model.Class, d time.Duration) { l[class].Add(d) }
+
 // slowAfter returns the latency from which an answer is slow, 0 while too
 // little is known.
 func (l *latencies) slowAfter(class model.Class) time.Duration {
@@ -59,15 +62,15 @@
 		return Nothing
 	}
 	latency := time.Duration(result.Latency)
-	slow := l.slowAfter(class)
 	switch result.Reason {
 	case "":
+		slow := l.slowAfter(class)
 		return findAnswer(result.Status, slow > 0 && latency > slow)
 	case model.ReasonServerFailed, model.ReasonBadAnswer:
 		return Failed
 	case model.ReasonTimedOut:
-		if latency >= max(slow, timeoutMinimum) {
-			return Failed
+		if latency >= max(l[class].Value(), timeoutMinimum) {
+			return TimedOut
 		}
 	}
 	return Nothing
--- a/decision/health/monitor.go
+++ b/decision/health/monitor.go
@@ -52,17 +52,21 @@
 	Class   model.Class
 	Result  model.AttemptResult
 	InTrial bool // the server is in trial
+	Loaded  bool // most servers of the pool are fully loaded
 }
 
 // Observe counts an attempt and returns what it says about the server.
 func (m *Monitor) Observe(now model.Instant, a Attempt) Finding {
 	finding := m.latencies.find(a.Class, a.Result)
+	if finding != Failed && finding != Nothing {
+		m.latencies.add(a.Class, time.Duration(a.Result.Latency))
+	}
+	if a.Loaded && (finding == Slow || finding == TimedOut) {
+		finding = Nothing
+	}
 	if finding == Nothing {
 		return finding
 	}
-	if finding != Failed {
-		m.latencies[a.Class].Add(time.Duration(a.Result.Latency))
-	}
 	m.count(now, finding)
 	m.suspect(now, a, finding)
 	m.observePath(now, a.Server, finding)
@@ -100,6 +104,9 @@
 	switch finding {
 	case Failed:
 		c.Failed++
+	case TimedOut:
+		c.Failed++
+		c.TimedOut++
 	case Slow:
 		c.OK++
 		c.Slow++
--- a/decision/health/path.go
+++ b/decision/health/path.go
@@ -33,7 +33,8 @@
 
 func (m *Monitor) observePath(now model.Instant, id model.ServerID, finding Finding) {
 	p, known := m.paths[id]
-	if !known && finding != Failed {
+	isFailure := finding == Failed || finding == TimedOut
+	if !known && !isFailure {
 		return
 	}
 	if !known {
@@ -41,7 +42,7 @@
 		m.paths[id] = p
 	}
 	p.decay(now)
-	if finding == Failed {
+	if isFailure {
 		p.fail(now)
 		return
 	}
--- a/decision/health/reporters.go
+++ b/decision/health/reporters.go
@@ -59,13 +59,21 @@
 // rates returns the attempts a second in each of n domains, and drops hosts
 // that have not reported for long.
 func (rs reporters) rates(now model.Instant, n int) []float64 {
-	rates := make([]float64, n)
+	// Whole numbers add up to the same sum in any order of the map.
+	sums := make([]int64, n)
 	for id, r := range rs {
 		if now > r.at.Add(reporterLife) {
 			delete(rs, id)
 			continue
 		}
-		rates[r.domain] += r.rate
+		sums[r.domain] += int64(r.rate * rateUnit)
+	}
+	rates := make([]float64, n)
+	for i, sum := range sums {
+		rates[i] = float64(sum) / rateUnit
 	}
 	return rates
 }
+
+// rateUnit is the resolution of summed rates, in parts of an attempt a second.
+const rateUnit = 1e6
--- a/decision/health/window.go
+++ b/decision/health/window.go
@@ -15,12 +15,14 @@
 
 // fault is a way in which attempts go wrong. Each is compared with the rest of
 // the pool for itself: services with a wide spread of latencies have slow
-// answers from every server, which would hide one server's failures.
+// answers from every server, which would hide one server's failures. Slow
+// answers and timeouts are one fault, because shared overload turns the one
+// into the other at some servers before it does at the rest.
 type fault uint8
 
 const (
 	failing fault = iota
-	slow
+	late
 	faults
 )
 
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -149,6 +149,8 @@
 	OK     int
 	Failed int
 	Slow   int // of OK, those far slower than the pool's median
+	// TimedOut counts those of Failed that ran into the caller's deadline.
+	TimedOut int
 }
 
 // EjectionSet is the whole set of servers of a service that get no ordinary
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -161,3 +161,23 @@
 		s.avoidUntil = until
 	}
 }
+
+// saturationMemory is how long a report counts for IsSaturated.
+const saturationMemory = 5 * time.Second
+
+// IsSaturated reports whether more than half of the servers that reported
+// their load of late are fully loaded. Slow answers then say nothing about a
+// single server.
+func (p *Pool) IsSaturated(now model.Instant) bool {
+	recent, full := 0, 0
+	for _, s := range p.subset {
+		if s.slots == 0 || now.Sub(s.reportedAt) > saturationMemory {
+			continue
+		}
+		recent++
+		if s.reported >= s.slots {
+			full++
+		}
+	}
+	return 2*full > recent
+}
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -73,6 +73,7 @@
 		Class:   r.route.Class,
 		Result:  result,
 		InTrial: slices.Contains(s.servers.inForce[service].trial, r.server),
+		Loaded:  pool.IsSaturated(s.now),
 	})
 	pool.Avoid(r.server, monitor.AvoidUntil(r.server))
 	s.setEvidenceTimer(monitor.Due(s.rateInterval()))
