--- a/decision/health/coordinator.go
+++ b/decision/health/coordinator.go
@@ -13,8 +13,10 @@
 	// repeatInterval is the time between publications of an unchanged set.
 	repeatInterval = 2 * time.Second
 	// repeatSoon is the time from a change to its first repetition, which
-	// reaches the hosts whose first copy was lost.
-	repeatSoon = 250 * time.Millisecond
+	// reaches the hosts whose first copy was lost. Further ones follow after
+	// ever longer times, by repeatFactor.
+	repeatSoon   = 100 * time.Millisecond
+	repeatFactor = 3
 	// decideInterval bounds the work of a coordinator that gets many reports.
 	decideInterval = 50 * time.Millisecond
 )
@@ -34,6 +36,7 @@
 	decideAt   model.Instant // model.Never: nothing new
 	decided    model.Instant
 	publishAt  model.Instant // model.Never: nothing to say
+	repeat     time.Duration // to the next repetition
 	atFloor    bool
 }
 
@@ -76,7 +79,7 @@
 		c.published[id] = now
 	}
 	if len(c.published) > 0 {
-		c.publishAt = now
+		c.change(now)
 	}
 }
 
@@ -161,14 +164,18 @@
 			delete(c.published, id)
 		}
 	}
-	switch {
-	case len(c.published) == 0:
+	if len(c.published) == 0 {
 		c.publishAt = model.Never
-	case now < c.decided.Add(repeatSoon):
-		c.publishAt = c.decided.Add(repeatSoon)
-	default:
-		c.publishAt = now.Add(repeatInterval)
+		return
 	}
+	c.publishAt = now.Add(c.repeat)
+	c.repeat = min(c.repeat*repeatFactor, repeatInterval)
+}
+
+// change makes a publication due now, with quick repetitions.
+func (c *Coordinator) change(now model.Instant) {
+	c.publishAt = now
+	c.repeat = repeatSoon
 }
 
 // inPhase returns the servers in a phase, the worst first.
--- a/decision/health/decide.go
+++ b/decision/health/decide.go
@@ -34,7 +34,7 @@
 	for id, s := range c.suspects {
 		isMember := slices.Contains(pool.Members, id)
 		if !isMember && s.phase != inUse {
-			c.publishAt = now
+			c.change(now)
 		}
 		if !isMember || s.isForgotten(now) {
 			delete(c.suspects, id)
@@ -59,7 +59,7 @@
 		switch {
 		case s.phase == ejected && now >= s.until:
 			s.startTrial(now)
-			c.publishAt = now
+			c.change(now)
 		case s.phase == inTrial && s.hasFailed(pool.Domains):
 			c.eject(now, s, sum(s.trial).badRatio(), d)
 		case s.phase == inTrial && (now >= s.until || sum(s.trial).OK >= trialPasses):
@@ -96,13 +96,13 @@
 
 func (c *Coordinator) eject(now model.Instant, s *suspect, ratio float64, d *Decision) {
 	s.eject(now, ratio)
-	c.publishAt = now
+	c.change(now)
 	d.Ejected = append(d.Ejected, s.id)
 }
 
 func (c *Coordinator) readmit(now model.Instant, s *suspect, d *Decision) {
 	s.readmit(now)
-	c.publishAt = now
+	c.change(now)
 	d.Readmitted = append(d.Readmitted, s.id)
 }
 
--- /dev/null
+++ b/decision/health/health_test.go
@@ -0,0 +1,336 @@
+package health
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+func servers(n int) []model.ServerID {
+	ids := make([]model.ServerID, n)
+	for i := range ids {
+		ids[i] = model.ServerID(fmt.Sprintf("127.0.0.1:%d", 9000+i))
+	}
+	return ids
+}
+
+func instant(d time.Duration) model.Instant { return model.Instant(0).Add(d) }
+
+func poolOf(members []model.ServerID, floor float64, impaired ...model.ServerID) Pool {
+	return Pool{
+		Members:    members,
+		IsImpaired: func(id model.ServerID) bool { return slices.Contains(impaired, id) },
+		Floor:      floor,
+		Hosts:      4,
+		Domains:    4,
+	}
+}
+
+// TestFind guards against blaming a server for what the caller or the fleet
+// did.
+func TestFind(t *testing.T) {
+	ms := func(n int) model.Instant { return instant(time.Duration(n) * time.Millisecond) }
+	tests := []struct {
+		name   string
+		result model.AttemptResult
+		want   Finding
+	}{
+		{"good", model.AttemptResult{Status: 200, Latency: ms(20)}, OK},
+		{"caller's mistake", model.AttemptResult{Status: 404, Latency: ms(20)}, OK},
+		{"server error", model.AttemptResult{Status: 500, Latency: ms(20)}, Failed},
+		{"shed", model.AttemptResult{Status: 503, Shed: true, Verdict: model.NotRun}, Nothing},
+		{"slow", model.AttemptResult{Status: 200, Latency: ms(300)}, Slow},
+		{"connection failed", model.AttemptResult{Reason: model.ReasonServerFailed}, Failed},
+		{"bad answer", model.AttemptResult{Reason: model.ReasonBadAnswer}, Failed},
+		{"timeout", model.AttemptResult{Reason: model.ReasonTimedOut, Latency: ms(800)}, TimedOut},
+		{"impatient caller", model.AttemptResult{Reason: model.ReasonTimedOut, Latency: ms(5)}, Nothing},
+		{"started too late", model.AttemptResult{Reason: model.ReasonStopping, Verdict: model.NotRun}, Nothing},
+	}
+	l := newLatencies()
+	for range medianCount {
+		l.add(model.Interactive, 20*time.Millisecond)
+	}
+	for _, test := range tests {
+		qt.Check(t, l.find(model.Interactive, test.result), qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
+
+// TestReportsAreBounded guards against a report for each failure, and against
+// reports that go on when nothing happens.
+func TestReportsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	m := NewMonitor()
+	reports := 0
+	step := func(now model.Instant) {
+		if now >= m.Due(5*time.Second) {
+			m.Report(now)
+			reports++
+		}
+	}
+	for i := range 1000 {
+		now := instant(time.Duration(i) * 10 * time.Millisecond)
+		m.Observe(now, Attempt{Server: "a", Result: model.AttemptResult{Status: 500}})
+		step(now)
+	}
+	c.Check(reports >= 39 && reports <= 41, qt.IsTrue, qt.Commentf("%d reports in 10 s", reports))
+	reports = 0
+	for i := range 10000 {
+		step(instant(10*time.Second + time.Duration(i)*10*time.Millisecond))
+	}
+	c.Check(reports <= 2, qt.IsTrue, qt.Commentf("%d reports without work", reports))
+	c.Check(m.Due(5*time.Second), qt.Equals, model.Never)
+}
+
+// TestLocalAvoidance guards against a host that keeps using a server it cannot
+// reach, and against avoiding one that fails only a part of its work, which
+// would hide it from the coordinator.
+func TestLocalAvoidance(t *testing.T) {
+	for _, test := range []struct {
+		failEvery int
+		avoided   bool
+	}{{1, true}, {3, false}} {
+		m := NewMonitor()
+		avoided := false
+		for i := range 60 {
+			now := instant(time.Duration(i) * 2 * time.Second)
+			result := model.AttemptResult{Status: 200}
+			if i%test.failEvery == 0 {
+				result = model.AttemptResult{Reason: model.ReasonServerFailed}
+			}
+			m.Observe(now, Attempt{Server: "a", Result: result})
+			avoided = avoided || m.AvoidUntil("a") > now
+		}
+		qt.Check(t, avoided, qt.Equals, test.avoided, qt.Commentf("every %d", test.failEvery))
+	}
+}
+
+// TestLimit guards against a host that applies a set beyond the floor as it
+// sees it, and against keeping the least bad server out at the floor.
+func TestLimit(t *testing.T) {
+	ids := servers(10)
+	set := message.EjectionSet{Ejected: ids[:2], Trial: ids[2:3]}
+	tests := []struct {
+		name           string
+		floor          float64
+		impaired       []model.ServerID
+		ejected, trial int
+	}{
+		{"room for all", 0.7, nil, 2, 1},
+		{"one leaves", 0.7, ids[9:], 2, 0},
+		{"two leave", 0.7, ids[8:], 1, 0},
+		{"many leave", 0.7, ids[4:], 0, 0},
+		{"the ejected one leaves", 0.7, ids[:1], 2, 1},
+		{"no floor keeps one", 0, nil, 2, 1},
+	}
+	for _, test := range tests {
+		ejected, trial := poolOf(ids, test.floor, test.impaired...).Limit(set)
+		qt.Check(t, len(ejected), qt.Equals, test.ejected, qt.Commentf(test.name))
+		qt.Check(t, len(trial), qt.Equals, test.trial, qt.Commentf(test.name))
+	}
+}
+
+// feed sends reports of four hosts in four domains that each see the given
+// servers fail all of 5 requests in 250 ms.
+func feed(c *Coordinator, now model.Instant, sequence uint64, failing ...model.ServerID) {
+	for h := range 4 {
+		e := message.Evidence{
+			Sequence: sequence, Domain: model.DomainID(fmt.Sprint(h)),
+			PoolOK: 50, PoolFailed: 5 * len(failing), Period: 250 * time.Millisecond,
+		}
+		for i, id := range failing {
+			e.Servers = append(e.Servers, message.ServerEvidence{Server: id, Failed: 5 - i})
+		}
+		c.Take(now, model.HostRef{ID: model.HostID(fmt.Sprint(h)), Incarnation: 1}, e)
+	}
+}
+
+// TestFloorKeepsLeastBad guards against ejecting the better of two failing
+// servers when the floor has room for one only.
+func TestFloorKeepsLeastBad(t *testing.T) {
+	c := qt.New(t)
+	ids := servers(10)
+	pool := poolOf(ids, 0.9)
+	coordinator := NewCoordinator(0, 1, true, message.EjectionSet{})
+	feed(coordinator, instant(time.Second), 1, ids[4], ids[2])
+	d := coordinator.Decide(instant(time.Second), pool)
+	c.Assert(d.Ejected, qt.DeepEquals, ids[4:5])
+	c.Assert(d.AtFloor, qt.IsTrue)
+}
+
+// TestNewCoordinatorWaits guards against a new coordinator that ejects while
+// hosts still hold sets of the one before that it has not seen.
+func TestNewCoordinatorWaits(t *testing.T) {
+	c := qt.New(t)
+	ids := servers(10)
+	pool := poolOf(ids, 0.9)
+	inherited := message.EjectionSet{Ejected: ids[:1]}
+	coordinator := NewCoordinator(0, 2, false, inherited)
+	set, ok := coordinator.Publish(0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(set.Ejected, qt.DeepEquals, ids[:1])
+	feed(coordinator, instant(linger/2), 1, ids[5])
+	c.Assert(coordinator.Decide(instant(linger/2), pool).Ejected, qt.HasLen, 0)
+	feed(coordinator, instant(3*linger), 2, ids[5])
+	c.Assert(coordinator.Decide(instant(3*linger), pool).Ejected, qt.DeepEquals, ids[5:6])
+}
+
+// TestSetsOrder guards against an old set that arrives late and replaces a
+// newer one, and against sets that stay in force without a coordinator.
+func TestSetsOrder(t *testing.T) {
+	c := qt.New(t)
+	set := func(term, sequence uint64, id model.ServerID) message.EjectionSet {
+		return message.EjectionSet{Service: "s", Term: term, Sequence: sequence, Ejected: []model.ServerID{id}}
+	}
+	s := NewSets()
+	c.Check(s.Take(0, set(2, 5, "a")), qt.IsTrue)
+	c.Check(s.Take(0, set(2, 5, "b")), qt.IsFalse)
+	c.Check(s.Take(0, set(2, 4, "b")), qt.IsFalse)
+	c.Check(s.Take(0, set(1, 9, "b")), qt.IsFalse)
+	c.Check(s.InForce(0, "s").Ejected, qt.DeepEquals, []model.ServerID{"a"})
+	c.Check(s.NextExpiry(0), qt.Equals, instant(SetLife))
+	c.Check(s.InForce(instant(SetLife), "s").Ejected, qt.HasLen, 0)
+	c.Check(s.Take(instant(SetLife), set(2, 5, "a")), qt.IsFalse)
+	c.Check(s.Take(instant(SetLife), set(3, 1, "c")), qt.IsTrue)
+}
+
+// floorModel is some hosts and coordinators under arbitrary evidence, losses,
+// delays and changes of the coordinator.
+type floorModel struct {
+	ids      []model.ServerID
+	pool     Pool
+	impaired map[model.ServerID]bool // as every host sees it, from the start
+	leaving  map[model.ServerID]bool // found out in the course of it
+	now      model.Instant
+	hosts    []*Sets
+	term     uint64
+	current  *Coordinator
+	holder   int // host of the coordinator
+	sequence uint64
+	onTheWay []message.EjectionSet // may still arrive, up to the longest delivery
+	sentAt   []model.Instant
+}
+
+func newFloorModel(t *rapid.T) *floorModel {
+	m := &floorModel{
+		ids:      servers(rapid.IntRange(1, 12).Draw(t, "servers")),
+		impaired: make(map[model.ServerID]bool),
+		leaving:  make(map[model.ServerID]bool),
+		term:     1,
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "impaired") {
+		m.impaired[m.draw(t)] = true
+	}
+	m.pool = poolOf(m.ids, float64(rapid.IntRange(0, 20).Draw(t, "floor"))/20)
+	m.pool.IsImpaired = func(id model.ServerID) bool { return m.impaired[id] || m.leaving[id] }
+	for range 4 {
+		m.hosts = append(m.hosts, NewSets())
+	}
+	m.current = NewCoordinator(0, 1, true, message.EjectionSet{})
+	return m
+}
+
+func (m *floorModel) draw(t *rapid.T) model.ServerID {
+	return rapid.SampledFrom(m.ids).Draw(t, "server")
+}
+
+// publish runs the coordinator; its own host gets the set, the others may.
+func (m *floorModel) publish() {
+	if m.current.Next() > m.now {
+		return
+	}
+	m.current.Decide(m.now, m.pool)
+	set, ok := m.current.Publish(m.now)
+	if !ok {
+		return
+	}
+	set.Service = "s"
+	m.hosts[m.holder].Take(m.now, set)
+	m.onTheWay = append(m.onTheWay, set)
+	m.sentAt = append(m.sentAt, m.now)
+}
+
+func (m *floorModel) advance(d time.Duration) {
+	end := m.now.Add(d)
+	for m.now < end {
+		m.now = min(end, max(m.now+1, m.current.Next()))
+		m.publish()
+	}
+	for len(m.sentAt) > 0 && m.now >= m.sentAt[0].Add(delivery) {
+		m.onTheWay, m.sentAt = m.onTheWay[1:], m.sentAt[1:]
+	}
+}
+
+func (m *floorModel) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"evidence": func(t *rapid.T) {
+			m.sequence++
+			feed(m.current, m.now, m.sequence, rapid.SliceOfNDistinct(
+				rapid.SampledFrom(m.ids), 1, min(len(m.ids), 3), rapid.ID[model.ServerID]).Draw(t, "failing")...)
+			m.publish()
+		},
+		"wait a little": func(t *rapid.T) {
+			m.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"wait long": func(t *rapid.T) {
+			m.advance(time.Duration(rapid.IntRange(3, 40).Draw(t, "s")) * time.Second)
+		},
+		"deliver": func(t *rapid.T) {
+			if len(m.onTheWay) == 0 {
+				t.Skip("nothing on the way")
+			}
+			set := rapid.SampledFrom(m.onTheWay).Draw(t, "set")
+			rapid.SampledFrom(m.hosts).Draw(t, "host").Take(m.now, set)
+		},
+		"change coordinator": func(t *rapid.T) {
+			m.term++
+			m.holder = rapid.IntRange(0, 3).Draw(t, "holder")
+			m.current = NewCoordinator(m.now, m.term, false, m.hosts[m.holder].InForce(m.now, "s"))
+			m.publish()
+		},
+		"leave": func(t *rapid.T) { m.leaving[m.draw(t)] = true },
+		"":      m.check,
+	}
+}
+
+// check asserts the floor at each host, and for all sets in force at once. The
+// second leaves out servers that began to leave on the way: no ejection can
+// foresee them, and each host drops ejections for them by itself.
+func (m *floorModel) check(t *rapid.T) {
+	together := make(map[model.ServerID]bool)
+	for _, h := range m.hosts {
+		set := h.InForce(m.now, "s")
+		ejected, trial := m.pool.Limit(set)
+		out := slices.Concat(ejected, trial)
+		n := m.pool.out(func(id model.ServerID) bool { return slices.Contains(out, id) })
+		if len(out) > 0 && n > m.pool.spare() && n > m.pool.out(func(model.ServerID) bool { return false }) {
+			t.Fatalf("a host has %d of %d out, the floor allows %d", n, len(m.ids), m.pool.spare())
+		}
+		for _, id := range slices.Concat(set.Ejected, set.Trial) {
+			together[id] = true
+		}
+	}
+	n := 0
+	for _, id := range m.ids {
+		if together[id] || m.impaired[id] {
+			n++
+		}
+	}
+	if len(together) > 0 && n > m.pool.spare() && n > len(m.impaired) {
+		t.Fatalf("the sets in force have %d of %d out, the floor allows %d", n, len(m.ids), m.pool.spare())
+	}
+}
+
+// TestFloorHolds guards against ejections that take more than the floor allows
+// out of use, at one host or by two sets that are in force at once.
+func TestFloorHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(newFloorModel(t).actions())
+	})
+}
