--- a/decision/health/health_test.go
+++ b/decision/health/health_test.go
@@ -235,6 +235,7 @@
 	leaving  map[model.ServerID]bool // found out in the course of it
 	now      model.Instant
 	hosts    []*Sets
+	isCut    [4]bool // hosts that sets do not reach
 	term     uint64
 	current  *Coordinator
 	holder   int // host of the coordinator
@@ -267,7 +268,8 @@
 	return rapid.SampledFrom(m.ids).Draw(t, "server")
 }
 
-// publish runs the coordinator; its own host gets the set, the others may.
+// publish runs the coordinator; its own host and those that are not cut off get
+// the set at once, the others may get it late.
 func (m *floorModel) publish() {
 	if m.current.Next() > m.now {
 		return
@@ -278,7 +280,11 @@
 		return
 	}
 	set.Service = "s"
-	m.hosts[m.holder].Take(m.now, set)
+	for i, h := range m.hosts {
+		if i == m.holder || !m.isCut[i] {
+			h.Take(m.now, set)
+		}
+	}
 	m.onTheWay = append(m.onTheWay, set)
 	m.sentAt = append(m.sentAt, m.now)
 }
@@ -315,6 +321,10 @@
 			set := rapid.SampledFrom(m.onTheWay).Draw(t, "set")
 			rapid.SampledFrom(m.hosts).Draw(t, "host").Take(m.now, set)
 		},
+		"cut or heal": func(t *rapid.T) {
+			i := rapid.IntRange(0, 3).Draw(t, "host")
+			m.isCut[i] = !m.isCut[i]
+		},
 		"change coordinator": func(t *rapid.T) {
 			m.term++
 			m.holder = rapid.IntRange(0, 3).Draw(t, "holder")
