--- a/decision/health/decide.go
+++ b/decision/health/decide.go
@@ -176,7 +176,7 @@
 		if s.phase != inUse || now < s.immuneUntil || len(s.windows) == 0 {
 			continue
 		}
-		if v := c.judge(now, s, f); v.isBad {
+		if v := judge(now, s, f); v.isBad {
 			bad = append(bad, candidate{s, v.ratio})
 		}
 	}
@@ -215,11 +215,10 @@
 			return
 		}
 	}
-	for _, least := range c.leastBad(pool) {
-		if least.ratio+swapMargin < bad.ratio {
-			least.immuneUntil = now.Add(linger)
-			c.readmit(now, least, d)
-		}
+	out := c.leastBad(pool)
+	if len(out) == 0 || out[0].ratio+swapMargin >= bad.ratio {
 		return
 	}
+	out[0].immuneUntil = now.Add(linger)
+	c.readmit(now, out[0], d)
 }
--- a/decision/health/judge.go
+++ b/decision/health/judge.go
@@ -52,16 +52,16 @@
 // seconds. A server is bad if any of them shows it, for any fault. The rest of
 // the pool is judged over the same time too, because at the start of a fault
 // that all servers share, a longer time shows only one of them failing.
-func (c *Coordinator) judge(now model.Instant, s *suspect, f flow) verdict {
+func judge(now model.Instant, s *suspect, f flow) verdict {
 	var worst verdict
-	longest := c.restRatios(now, s, f, buckets)
+	longest := f.rest(now, buckets, sum(s.counts(now, buckets)))
 	for n := minBuckets; n <= buckets; n++ {
-		rest := c.restRatios(now, s, f, n)
 		e := evidence{
 			counts:  s.counts(now, n),
 			domains: f.domains,
 		}
 		e.work = f.share(e.counts, span(now, n)+reportDelay)
+		rest := f.rest(now, n, sum(e.counts))
 		for kind := range faults {
 			v := e.judge(kind, max(rest[kind], longest[kind]))
 			worst.isBad = worst.isBad || v.isBad
@@ -134,6 +134,9 @@
 	rates   []float64 // attempts a second at one server, from each domain
 	servers int       // that share the work
 	domains int
+	// seen sums up what was reported of all servers in use, in the newest n
+	// buckets by n.
+	seen [buckets + 1]tally
 }
 
 // flow estimates the work of each server from the hosts' rates. Reports name
@@ -148,7 +151,13 @@
 	for i := range rates {
 		rates[i] *= scale / float64(servers)
 	}
-	return flow{rates: rates, servers: servers, domains: pool.Domains}
+	f := flow{rates: rates, servers: servers, domains: pool.Domains}
+	for _, s := range c.suspects {
+		for n := minBuckets; n <= buckets && s.phase == inUse; n++ {
+			f.seen[n].add(sum(s.counts(now, n)))
+		}
+	}
+	return f
 }
 
 // share returns the attempts at one server over a time, from each domain: at
@@ -164,20 +173,16 @@
 	return work
 }
 
-// restRatios returns the share of each fault at the other servers in use, in
-// the newest n buckets.
-func (c *Coordinator) restRatios(now model.Instant, except *suspect, f flow, n int) [faults]float64 {
-	var seen tally
-	for _, s := range c.suspects {
-		if s != except && s.phase == inUse {
-			seen.add(sum(s.counts(now, n)))
-		}
-	}
+// rest returns the share of each fault at the other servers in use, in the
+// newest n buckets. own is what was reported of the server itself.
+func (f flow) rest(now model.Instant, n int, own tally) [faults]float64 {
+	seen := f.seen[n]
 	over := span(now, n) + reportDelay
-	work := max(total(f.share(nil, over))*(f.servers-1), seen.total())
+	expected := total(f.share(nil, over)) * (f.servers - 1)
+	work := max(expected, seen.total()-own.total())
 	var ratios [faults]float64
 	for kind, bad := range seen.Bad {
-		ratios[kind] = ratio(bad, work)
+		ratios[kind] = ratio(bad-own.Bad[kind], work)
 	}
 	return ratios
 }
--- /dev/null
+++ b/decision/placement/load_test.go
@@ -0,0 +1,246 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/model"
+)
+
+// agenda runs functions in virtual time.
+type agenda struct {
+	now   model.Instant
+	items []agendaItem
+}
+
+type agendaItem struct {
+	at  model.Instant
+	run func()
+}
+
+func (a *agenda) Len() int           { return len(a.items) }
+func (a *agenda) Less(i, j int) bool { return a.items[i].at < a.items[j].at }
+func (a *agenda) Swap(i, j int)      { a.items[i], a.items[j] = a.items[j], a.items[i] }
+func (a *agenda) Push(x any)         { a.items = append(a.items, x.(agendaItem)) }
+func (a *agenda) Pop() any {
+	last := a.items[len(a.items)-1]
+	a.items = a.items[:len(a.items)-1]
+	return last
+}
+
+func (a *agenda) after(d time.Duration, f func()) { heap.Push(a, agendaItem{a.now.Add(d), f}) }
+
+func (a *agenda) run(until time.Duration) {
+	for len(a.items) > 0 && a.items[0].at <= model.Instant(until) {
+		item := heap.Pop(a).(agendaItem)
+		a.now = item.at
+		item.run()
+	}
+}
+
+func exponential(rnd *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(rnd.ExpFloat64() * float64(mean))
+}
+
+// poisson calls f at random instants, rate times a second.
+func (a *agenda) poisson(rnd *rand.Rand, rate float64, f func()) {
+	a.after(exponential(rnd, time.Duration(float64(time.Second)/rate)), func() {
+		f()
+		a.poisson(rnd, rate, f)
+	})
+}
+
+// fairness is one host's pool under the load of several accounts.
+type fairness struct {
+	agenda
+	rnd        *rand.Rand
+	pool       *Pool
+	firstCome  bool // one queue for all accounts
+	nextID     model.RequestID
+	waiting    map[model.RequestID]func()
+	sent, done map[string]int
+}
+
+// request tries to get a place for an account, which a request keeps for 50 ms
+// on average. It has to be done within 800 ms.
+func (f *fairness) request(account string) {
+	f.sent[account]++
+	f.nextID++
+	id := f.nextID
+	deadline := f.now.Add(800 * time.Millisecond)
+	start := func() {
+		server, ok := f.pool.Take(f.now, f.rnd, nil)
+		if !ok {
+			return
+		}
+		held := exponential(f.rnd, 50*time.Millisecond)
+		f.after(held, func() {
+			f.pool.Release(server, held)
+			if f.now <= deadline {
+				f.done[account]++
+			}
+			f.serve()
+		})
+	}
+	if f.pool.HasRoom() && f.pool.QueueLength() == 0 {
+		start()
+		return
+	}
+	w := Waiting{Request: id, Account: model.AccountID(account), Weight: 1, Deadline: deadline, NotAfter: deadline}
+	if f.firstCome {
+		w.Account = ""
+	}
+	if f.pool.Enqueue(f.now, w, false).Reason == "" {
+		f.waiting[id] = start
+	}
+}
+
+func (f *fairness) serve() {
+	for {
+		w, reason, ok := f.pool.Next(f.now)
+		if !ok {
+			return
+		}
+		start := f.waiting[w.Request]
+		delete(f.waiting, w.Request)
+		if reason == "" {
+			start()
+		}
+	}
+}
+
+// smallestShare returns the goodput of the smallest of eight accounts while
+// the largest sends the given number of times its rate.
+func smallestShare(seed uint64, times float64, firstCome bool) float64 {
+	f := &fairness{
+		rnd:       rand.New(rand.NewPCG(seed, 1)),
+		pool:      warmPool(Limits{Slots: 6, Concurrency: 6, Queue: 64}, 1),
+		firstCome: firstCome,
+		waiting:   make(map[model.RequestID]func()),
+		sent:      make(map[string]int),
+		done:      make(map[string]int),
+	}
+	f.poisson(f.rnd, 60*times, func() { f.request("large") })
+	f.poisson(f.rnd, 3, func() { f.request("smallest") })
+	for i := range 6 {
+		f.poisson(f.rnd, 4, func() { f.request(fmt.Sprint("middle-", i)) })
+	}
+	f.run(300 * time.Second)
+	return float64(f.done["smallest"]) / float64(f.sent["smallest"])
+}
+
+// TestSmallestKeepsItsShare guards against a large account that sends five
+// times its rate and takes the places of the smallest one.
+func TestSmallestKeepsItsShare(t *testing.T) {
+	for seed := range uint64(3) {
+		alone := smallestShare(seed, 1, false)
+		fair := smallestShare(seed, 5, false)
+		firstCome := smallestShare(seed, 5, true)
+		t.Logf("smallest account: %.1f %% at ordinary load, %.1f %% at five times, %.1f %% of it first come first served",
+			100*alone, 100*fair, 100*firstCome)
+		qt.Check(t, fair >= 0.99*alone, qt.IsTrue)
+		qt.Check(t, firstCome < fair, qt.IsTrue)
+	}
+}
+
+// choice is 40 hosts that send work to 10 servers of 6 slots, one of which is
+// half as fast.
+type choice struct {
+	agenda
+	rnd       *rand.Rand
+	pools     []*Pool
+	busy      []int
+	waiting   [][]func()
+	latencies []time.Duration
+}
+
+func (s *choice) index(id model.ServerID) int {
+	return slices.Index(serverIDs(len(s.busy)), id)
+}
+
+func (s *choice) request(random bool) {
+	p := s.pools[s.rnd.IntN(len(s.pools))]
+	var id model.ServerID
+	if random {
+		id = p.subset[s.rnd.IntN(len(p.subset))].ID
+		p.byID[id].inFlight++
+		p.inFlight++
+	} else {
+		id, _ = p.Take(s.now, s.rnd, nil)
+	}
+	i := s.index(id)
+	began := s.now
+	mean := 40 * time.Millisecond
+	if i == 0 {
+		mean *= 2
+	}
+	work := func() {
+		s.after(exponential(s.rnd, mean), func() {
+			s.end(i)
+			p.Report(s.now, id, s.busy[i]+len(s.waiting[i]), 6)
+			p.Release(id, s.now.Sub(began))
+			s.latencies = append(s.latencies, s.now.Sub(began))
+		})
+	}
+	if s.busy[i] < 6 {
+		s.busy[i]++
+		work()
+		return
+	}
+	s.waiting[i] = append(s.waiting[i], work)
+}
+
+func (s *choice) end(i int) {
+	if len(s.waiting[i]) == 0 {
+		s.busy[i]--
+		return
+	}
+	next := s.waiting[i][0]
+	s.waiting[i] = s.waiting[i][1:]
+	next()
+}
+
+// latency returns the median and the 99th percentile at about half load.
+func latency(seed uint64, random bool) (median, high time.Duration) {
+	s := &choice{rnd: rand.New(rand.NewPCG(seed, 2)), busy: make([]int, 10), waiting: make([][]func(), 10)}
+	for range 40 {
+		s.pools = append(s.pools, warmPool(Limits{Slots: 6}, 10))
+	}
+	s.poisson(s.rnd, 700, func() { s.request(random) })
+	s.run(30 * time.Second)
+	slices.Sort(s.latencies)
+	n := len(s.latencies)
+	return s.latencies[n/2], s.latencies[n*99/100]
+}
+
+// TestTwoChoicesBeatOne guards against a choice that ignores load.
+func TestTwoChoicesBeatOne(t *testing.T) {
+	median, high := latency(1, false)
+	randomMedian, randomHigh := latency(1, true)
+	t.Logf("two choices: median %v, 99th percentile %v; random choice: %v, %v", median, high, randomMedian, randomHigh)
+	qt.Check(t, high < randomHigh, qt.IsTrue)
+}
+
+// BenchmarkTake measures one place taken and given back, with a report.
+func BenchmarkTake(b *testing.B) {
+	for _, n := range []int{10, 25} {
+		b.Run(fmt.Sprintf("subset=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			p := warmPool(Limits{Slots: 6, Concurrency: 64, Connections: 7}, n)
+			rnd := rand.New(rand.NewPCG(1, 1))
+			now := model.Instant(0)
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				id, _ := p.Take(now, rnd, nil)
+				p.Report(now, id, 2, 6)
+				p.Release(id, 40*time.Millisecond)
+			}
+		})
+	}
+}
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -19,6 +19,9 @@
 	slots []model.SlotID
 	// slotsChanged is true once the slots differ from those at the start.
 	slotsChanged bool
+	// list is the newest host list. An equal one is not taken again, because
+	// computing all subsets takes milliseconds in a large fleet.
+	list []model.HostEntry
 	// listed are the servers that the host list adds to services.
 	listed map[model.ServiceID][]model.ServerID
 	// members are all servers of each service, leaving ones included, in this
@@ -90,6 +93,10 @@
 // serversHostsListed takes the members that the host list adds, the servers
 // that it says are leaving, and the number of hosts that share the servers.
 func (s *State) serversHostsListed(entries []model.HostEntry) {
+	if s.servers.list != nil && slices.Equal(entries, s.servers.list) {
+		return
+	}
+	s.servers.list = slices.Clone(entries)
 	clear(s.servers.listed)
 	s.servers.peers = s.servers.peers[:0]
 	s.servers.users = 0
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -27,7 +27,8 @@
 		s.serverDrains(r.server)
 	}
 	if result.Streaming {
-		r.streamed = &result
+		streamed := result
+		r.streamed = &streamed
 		return
 	}
 	s.takeFinding(r, result)
--- /dev/null
+++ b/decision/servers_place_test.go
@@ -0,0 +1,115 @@
+package decision
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/model"
+)
+
+// TestLeavingServerGetsNoWork guards against new work for a server that is
+// leaving, whoever says so.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(*sim, *simServer)
+	}{
+		{"the host list", func(m *sim, s *simServer) {
+			entry := model.HostEntry{ID: string(s.id), Role: model.RoleBackend, Service: simService, Leaving: true}
+			m.hosts[0].reduce(event.HostsListed{Entries: append(m.list, entry)})
+		}},
+		{"an answer of the server", func(m *sim, s *simServer) {
+			s.drains = true
+			m.run(time.Duration(m.now) + time.Second)
+		}},
+		{"a peer", func(m *sim, s *simServer) {
+			m.hosts[0].state.leavingHeard([]model.ServerID{s.id})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newSim(t, simOptions{hosts: 1, servers: 3, rate: 50, floor: 0.5})
+			m.run(5 * time.Second)
+			server := m.servers[1]
+			c.Assert(server.hits > 20, qt.IsTrue)
+			test.leave(m, server)
+			m.run(time.Duration(m.now) + 2*time.Millisecond) // sent before
+			hits := server.hits
+			m.hosts[0].reduce(event.HostsListed{Entries: m.list}) // lags
+			m.run(30 * time.Second)
+			c.Check(server.hits, qt.Equals, hits)
+			c.Check(m.hosts[0].state.leavingServers(), qt.HasLen, 0)
+			m.run(100 * time.Second)
+			c.Check(server.hits > hits, qt.IsTrue) // forgotten in the end
+		})
+	}
+}
+
+// TestQueuedRequestsAdvance guards against places that become free and are not
+// used, and against requests that never get an answer.
+func TestQueuedRequestsAdvance(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(t, simOptions{hosts: 1, servers: 2, rate: 200, floor: 0.5, seed: 5})
+	service := m.hosts[0].state.snapshot.Services[simService]
+	service.Concurrency = 4
+	m.hosts[0].state.serversConfigured()
+	m.run(20 * time.Second)
+	m.halted = true
+	m.run(25 * time.Second)
+	c.Assert(m.outcomes, qt.HasLen, int(m.nextID))
+	delivered := 0
+	for _, o := range m.outcomes {
+		switch o.Result {
+		case model.Delivered:
+			delivered++
+		case model.Refused:
+			c.Assert(o.Verdict, qt.Equals, model.NotRun)
+			c.Assert(o.Reason, qt.Equals, model.ReasonOverloaded)
+		default:
+			c.Assert(o.Reason, qt.Equals, model.ReasonTimedOut)
+		}
+	}
+	// Four places of 40 ms on average carry 100 requests a second.
+	c.Check(delivered > 1800, qt.IsTrue, qt.Commentf("%d delivered in 20 s", delivered))
+	c.Check(m.hosts[0].state.pool(simService).InFlight(), qt.Equals, 0)
+	c.Check(m.hosts[0].state.pool(simService).QueueLength(), qt.Equals, 0)
+}
+
+// TestStreamedAnswerIsEvidence guards against a server that breaks off its
+// streamed answers unseen, and against blaming it for a caller that went away.
+func TestStreamedAnswerIsEvidence(t *testing.T) {
+	for _, serverFailed := range []bool{true, false} {
+		c := qt.New(t)
+		m := newSim(t, simOptions{hosts: 1, servers: 1, rate: 1, floor: 0.5})
+		h := m.hosts[0]
+		for i := range model.RequestID(10) {
+			id := 1000 + i
+			h.reduce(event.RequestArrived{Request: id, Method: "GET", Path: "/lookup"})
+			server := h.server[id]
+			result := model.AttemptResult{Verdict: model.Ran, Status: 200, Streaming: true, Latency: 1}
+			h.reduce(event.AttemptEnded{Request: id, Server: server, Result: result})
+			c.Assert(h.state.pool(simService).InFlight(), qt.Equals, 1)
+			h.reduce(event.AnswerSent{Request: id, ServerFailed: serverFailed})
+			c.Assert(h.state.pool(simService).InFlight(), qt.Equals, 0)
+		}
+		c.Check(h.state.isAvoided(simService, m.servers[0].id), qt.Equals, serverFailed)
+	}
+}
+
+// TestStatusNamesServers guards against an ejection that operators cannot see.
+func TestStatusNamesServers(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(t, simOptions{seed: 1})
+	m.servers[3].fails = m.failing(0.5, 0)
+	m.run(4 * time.Second)
+	var status effect.Status
+	m.hosts[7].state.serversStatus(&status)
+	c.Check(status.Servers, qt.DeepEquals, []effect.ServerStatus{
+		{Service: simService, Server: m.servers[3].id, State: "ejected"},
+	})
+}
--- a/decision/servers_sim_test.go
+++ b/decision/servers_sim_test.go
@@ -50,6 +50,7 @@
 	outcomes     []model.Outcome
 	ejected      []model.ServerID // notices of the coordinator
 	firstFailure model.Instant
+	failures     int // attempts that failed at servers
 	evidence     int // messages
 	sets         int
 }
@@ -72,6 +73,7 @@
 	service time.Duration // mean time of one request
 	fails   func(now model.Instant, host *simHost) bool
 	mute    func(now model.Instant, host *simHost) bool // answers are lost
+	drains  bool
 	hits    int
 }
 
@@ -314,9 +316,11 @@
 		s.busy--
 	}
 	result.InFlight, result.Slots = s.busy+len(s.waiting), 6
+	result.Draining = s.drains
 	result.Latency = m.now - a.started
 	if result.Status != 200 {
 		m.firstFailure = min(m.firstFailure, m.now)
+		m.failures++
 	}
 	m.at(time.Millisecond, func() {
 		a.host.reduce(event.AttemptEnded{Request: a.forward.Request, Server: s.id, Result: result})
