--- a/decision/health/coordinator.go
+++ b/decision/health/coordinator.go
@@ -25,7 +25,6 @@
 // slot. Make it with NewCoordinator.
 type Coordinator struct {
 	term      uint64
-	started   model.Instant
 	domains   map[model.DomainID]int // to an index
 	reporters reporters
 	suspects  map[model.ServerID]*suspect
@@ -46,14 +45,14 @@
 // that it did not inherit.
 func NewCoordinator(now model.Instant, term uint64, isFirst bool, inherited message.EjectionSet) *Coordinator {
 	c := &Coordinator{
-		term:      term,
-		started:   now,
-		domains:   make(map[model.DomainID]int),
-		reporters: make(reporters),
-		suspects:  make(map[model.ServerID]*suspect),
-		published: make(map[model.ServerID]model.Instant),
-		decideAt:  model.Never,
-		publishAt: model.Never,
+		term:       term,
+		quietUntil: now,
+		domains:    make(map[model.DomainID]int),
+		reporters:  make(reporters),
+		suspects:   make(map[model.ServerID]*suspect),
+		published:  make(map[model.ServerID]model.Instant),
+		decideAt:   model.Never,
+		publishAt:  model.Never,
 	}
 	if !isFirst {
 		c.quietUntil = now.Add(linger)
--- a/decision/health/judge.go
+++ b/decision/health/judge.go
@@ -144,7 +144,7 @@
 func (c *Coordinator) flow(now model.Instant, pool Pool) flow {
 	rates := c.reporters.rates(now, len(c.domains))
 	scale := 1.0
-	if now < c.started.Add(learning) && len(c.reporters) > 0 {
+	if now < c.quietUntil.Add(learning) && len(c.reporters) > 0 {
 		scale = max(float64(pool.Hosts)/float64(len(c.reporters)), 1)
 	}
 	servers := max(len(pool.Members)-pool.out(c.isEjected), 1)
--- a/decision/health/reporters.go
+++ b/decision/health/reporters.go
@@ -13,9 +13,10 @@
 	// reporterLife is how long a host's rate counts after its last report. It
 	// is over twice the longest interval between reports.
 	reporterLife = 3 * time.Minute
-	// learning is how long after its start a coordinator takes it that hosts
-	// which have not reported have the mean rate of those which have. All hosts
-	// that have work report within this time.
+	// learning is how long a coordinator takes it that hosts which have not
+	// reported have the mean rate of those which have: from its start in a first
+	// term, else from the end of its quiet time, because hosts that reported to
+	// the coordinator before take longer.
 	learning = 3 * time.Second
 )
 
