--- a/decision/health/judge.go
+++ b/decision/health/judge.go
@@ -17,12 +17,13 @@
 }
 
 var (
-	// ejection is the rule for all failures that were seen. A chance of e^-10
-	// is 1 in 20,000 for each look.
-	ejection = rule{failures: 5, ratio: ejectRatio, surprise: 10}
+	// ejection is the rule for all failures that were seen. A chance of e^-13
+	// is 2 in a million for each look; a pool of ten servers is looked at about
+	// a hundred times a second while it fails.
+	ejection = rule{failures: 5, ratio: ejectRatio, surprise: 13}
 	// elsewhere is the rule for those that any single domain did not see.
 	// Failures on the path from one domain do not pass it.
-	elsewhere = rule{failures: 3, ratio: otherRatio, surprise: 8}
+	elsewhere = rule{failures: 3, ratio: otherRatio, surprise: 6}
 )
 
 const (
@@ -33,10 +34,12 @@
 	restFactor = 3
 	// ordinaryRatio is the share of failures that is assumed of a healthy pool
 	// at least, so that a pool without any is not held to zero.
-	ordinaryRatio = 0.01
+	ordinaryRatio = 0.005
 	// minBuckets is the shortest time that is judged. Reports add up over one
 	// bucket.
 	minBuckets = 2
+	// reportDelay is the mean time from an attempt to its report.
+	reportDelay = ReportInterval / 2
 )
 
 // verdict is a judgment of a server in use.
@@ -46,18 +49,21 @@
 }
 
 // judge looks at the last half second, and at ever longer times up to two
-// seconds. A server is bad if any of them shows it, for any fault.
-func (c *Coordinator) judge(now model.Instant, s *suspect, f flow) verdict {
+// seconds. A server is bad if any of them shows it, for any fault. The rest of
+// the pool is judged over the same time too, because at the start of a fault
+// that all servers share, a longer time shows only one of them failing.
+func judge(now model.Instant, s *suspect, f flow) verdict {
 	var worst verdict
-	rest := c.restRatios(now, s, f)
+	longest := f.rest(now, buckets, sum(s.counts(now, buckets)))
 	for n := minBuckets; n <= buckets; n++ {
 		e := evidence{
 			counts:  s.counts(now, n),
 			domains: f.domains,
 		}
-		e.work = f.share(e.counts, span(now, n)+ReportInterval)
+		e.work = f.share(e.counts, span(now, n)+reportDelay)
+		rest := f.rest(now, n, sum(e.counts))
 		for kind := range faults {
-			v := e.judge(kind, rest[kind])
+			v := e.judge(kind, max(rest[kind], longest[kind]))
 			worst.isBad = worst.isBad || v.isBad
 			worst.ratio = max(worst.ratio, v.ratio)
 		}
@@ -128,6 +134,9 @@
 	rates   []float64 // attempts a second at one server, from each domain
 	servers int       // that share the work
 	domains int
+	// seen sums up what was reported of all servers in use, in the newest n
+	// buckets by n.
+	seen [buckets + 1]tally
 }
 
 // flow estimates the work of each server from the hosts' rates. Reports name
@@ -135,14 +144,20 @@
 func (c *Coordinator) flow(now model.Instant, pool Pool) flow {
 	rates := c.reporters.rates(now, len(c.domains))
 	scale := 1.0
-	if now < c.started.Add(learning) && len(c.reporters) > 0 {
+	if now < c.quietUntil.Add(learning) && len(c.reporters) > 0 {
 		scale = max(float64(pool.Hosts)/float64(len(c.reporters)), 1)
 	}
 	servers := max(len(pool.Members)-pool.out(c.isEjected), 1)
 	for i := range rates {
 		rates[i] *= scale / float64(servers)
 	}
-	return flow{rates: rates, servers: servers, domains: pool.Domains}
+	f := flow{rates: rates, servers: servers, domains: pool.Domains}
+	for _, s := range c.suspects {
+		for n := minBuckets; n <= buckets && s.phase == inUse; n++ {
+			f.seen[n].add(sum(s.counts(now, n)))
+		}
+	}
+	return f
 }
 
 // share returns the attempts at one server over a time, from each domain: at
@@ -158,19 +173,16 @@
 	return work
 }
 
-// restRatios returns the share of each fault at the other servers in use.
-func (c *Coordinator) restRatios(now model.Instant, except *suspect, f flow) [faults]float64 {
-	var seen tally
-	for _, s := range c.suspects {
-		if s != except && s.phase == inUse {
-			seen.add(sum(s.counts(now, buckets)))
-		}
-	}
-	over := span(now, buckets) + ReportInterval
-	work := max(total(f.share(nil, over))*(f.servers-1), seen.total())
+// rest returns the share of each fault at the other servers in use, in the
+// newest n buckets. own is what was reported of the server itself.
+func (f flow) rest(now model.Instant, n int, own tally) [faults]float64 {
+	seen := f.seen[n]
+	over := span(now, n) + reportDelay
+	expected := total(f.share(nil, over)) * (f.servers - 1)
+	work := max(expected, seen.total()-own.total())
 	var ratios [faults]float64
 	for kind, bad := range seen.Bad {
-		ratios[kind] = ratio(bad, work)
+		ratios[kind] = ratio(bad-own.Bad[kind], work)
 	}
 	return ratios
 }
