--- a/decision/admission/asks.go
+++ b/decision/admission/asks.go
@@ -148,8 +148,9 @@
 	s.awayUntil, s.emptyUntil = 0, 0
 	if m.NotOwner {
 		s.awayUntil = now.Add(notOwnerFor)
+		return
 	}
-	if m.NextToken > 0 {
+	if m.NextToken > 0 || m.Tokens == 0 {
 		s.emptyUntil = now.Add(min(max(m.NextToken, minEmpty), maxEmpty))
 	}
 }
--- a/decision/admission/share.go
+++ b/decision/admission/share.go
@@ -14,11 +14,14 @@
 }
 
 // Share returns the part of an account's limit that the slot in one of several
-// failure domains gets. Bursts are split into whole tokens: the remainder goes
-// one token each to the domains from a start that depends on the account, and
-// the rate is split in proportion. So shares always sum to the limit, and an
-// account whose burst is smaller than the number of domains gets tokens in
-// some of them only, at its whole rate.
+// failure domains gets. The rate is split evenly and the burst into whole
+// tokens, the remainder one each to the domains from a start that depends on
+// the account. A burst smaller than the number of domains gives one token and
+// an even part of the rate to as many domains, and nothing to the others. So
+// shares always sum to the limit, and no share falls when the burst rises,
+// which keeps the bound while owners still differ in their configuration. (A
+// change of a burst below the number of domains moves rate between domains;
+// until it is in force everywhere the rates may sum to old plus new.)
 func Share(account model.AccountID, limit Limit, domain, domains int) Limit {
 	if limit.Burst <= 0 || domains <= 0 {
 		return Limit{}
@@ -28,10 +31,10 @@
 	if place < limit.Burst%domains {
 		burst++
 	}
-	return Limit{
-		Rate:  limit.Rate * float64(burst) / float64(limit.Burst),
-		Burst: burst,
+	if burst == 0 {
+		return Limit{}
 	}
+	return Limit{Rate: limit.Rate / float64(min(limit.Burst, domains)), Burst: burst}
 }
 
 // SlotIndex returns the index, in each failure domain, of the slot that holds
--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -1,6 +1,15 @@
 package decision
 
-import "pollensail.dev/decision/configuration"
+import (
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/model"
+)
 
 // SetSnapshot puts a configuration into force without a store.
 func SetSnapshot(s *State, snapshot *configuration.Snapshot) { s.snapshot = snapshot }
+
+// OwnsSlot reports whether the host owns the slot at the given instant.
+func OwnsSlot(s *State, now model.Instant, id model.SlotID) bool {
+	_, ok := s.limits.slots.Owns(now, id)
+	return ok
+}
--- a/decision/fleettest/fleet.go
+++ b/decision/fleettest/fleet.go
@@ -107,7 +107,7 @@
 	h.Post(event.Started{Self: h.Ref, Domain: entry.Domain, Seed: f.rand.Uint64()})
 	h.Post(event.HostsListed{Entries: f.Options.Hosts})
 	if f.Snapshot != nil {
-		f.Configure(h.State, f.Snapshot)
+		h.configure(f.Snapshot)
 	}
 	return h
 }
@@ -118,7 +118,7 @@
 	f.Snapshot = snapshot
 	for _, entry := range f.Options.Hosts {
 		h := f.Hosts[model.HostID(entry.ID)]
-		f.After(f.between(0, lag), func() { f.Configure(h.State, snapshot) })
+		f.After(f.between(0, lag), func() { h.configure(snapshot) })
 	}
 }
 
--- a/decision/fleettest/host.go
+++ b/decision/fleettest/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollensail.dev/decision"
+	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/model"
@@ -31,11 +32,15 @@
 	waiting  []func() // what happened while paused
 	offset   model.Instant
 	timer    uint64 // serial of the last SetTimer
+	version  uint64 // of the snapshot in force
 }
 
 // Alive reports whether the host runs or is paused.
 func (h *Host) Alive() bool { return h.alive }
 
+// Running reports whether the host runs and is not paused.
+func (h *Host) Running() bool { return h.alive && !h.paused }
+
 // Serving reports whether the host runs and has not been asked to stop.
 func (h *Host) Serving() bool { return h.alive && !h.stopping }
 
@@ -115,6 +120,14 @@
 	}
 }
 
+// configure puts a snapshot into force, unless a newer one is.
+func (h *Host) configure(snapshot *configuration.Snapshot) {
+	if snapshot.Version > h.version {
+		h.version = snapshot.Version
+		h.fleet.Configure(h.State, snapshot)
+	}
+}
+
 func (h *Host) after(d time.Duration, run func()) {
 	h.fleet.After(d, func() { h.do(run) })
 }
--- a/decision/slot/claim.go
+++ b/decision/slot/claim.go
@@ -117,7 +117,7 @@
 		return
 	}
 	s.hearIntent(v, now)
-	s.emit(Send{from.ID, message.ClaimIntentAck{Intent: m.Intent, Slot: m.Slot}})
+	s.emit(Send{from.ID, message.ClaimIntentAck(m)})
 }
 
 func (s *State) onIntentAck(now model.Instant, f Fleet, from model.HostRef, m message.ClaimIntentAck) {
--- a/decision/slot/slot.go
+++ b/decision/slot/slot.go
@@ -1,7 +1,6 @@
 package slot
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -270,7 +269,3 @@
 	}
 	return kept
 }
-
-func compareRefs(a, b model.HostRef) int {
-	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
-}
