--- a/decision/admission/asks.go
+++ b/decision/admission/asks.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pollensail.dev/decision/message"
@@ -9,7 +11,7 @@
 
 // isLow reports whether more tokens are to be asked for ahead.
 func (a *holding) isLow(now model.Instant) bool {
-	_, low := a.demand.ahead(now)
+	_, low := a.ahead(now)
 	return low > 0 && a.usable(now) < low
 }
 
@@ -22,15 +24,16 @@
 			expected += s.asked
 		}
 	}
-	target, low := a.demand.ahead(now)
+	target, low := a.ahead(now)
 	if expected >= low {
 		return 0
 	}
 	return target - expected
 }
 
-// askFor asks owners for the tokens that are wanted: the preferred one for all
-// of them, or else the others, each for a part.
+// askFor asks owners for the tokens that are wanted: the best one for all of
+// them, or several, each for a part, where more than one request waits for
+// owners in other failure domains.
 func (h *Holder) askFor(now model.Instant, a *holding) {
 	a.giveUpAsks(now)
 	wanted := a.wanted(now)
@@ -41,7 +44,7 @@
 	if len(open) == 0 {
 		return
 	}
-	if open[0] == &a.sources[0] || wanted == 1 {
+	if open[0].IsNear || len(a.waiters) <= 1 {
 		h.ask(now, a, open[0], wanted)
 		return
 	}
@@ -67,7 +70,7 @@
 	}
 }
 
-// askable returns the sources that can be asked, in order of preference.
+// askable returns the sources that can be asked, the best first.
 func (a *holding) askable(now model.Instant) []*source {
 	var open []*source
 	for i := range a.sources {
@@ -76,22 +79,41 @@
 			open = append(open, s)
 		}
 	}
+	slices.SortStableFunc(open, func(x, y *source) int {
+		return cmp.Compare(y.preference(now), x.preference(now))
+	})
 	return open
 }
 
+// nearBonus is how much fuller, as a part of its burst, a share in another
+// failure domain must be to be preferred. Shares that are drawn upon evenly
+// lose the least to being full; the near one answers sooner.
+const nearBonus = 0.3
+
+// preference is how full the share is thought to be, with the bonus.
+func (s *source) preference(now model.Instant) float64 {
+	left := s.left + accrued(s.Limit.Rate, now.Sub(s.leftAt))
+	p := min(1, left/float64(s.Limit.Burst))
+	if s.IsNear {
+		p += nearBonus
+	}
+	return p
+}
+
 func (s *source) askableFrom() model.Instant { return max(s.emptyUntil, s.awayUntil) }
 
 func (h *Holder) ask(now model.Instant, a *holding, s *source, tokens int) {
 	h.lastAsk++
 	s.ask, s.askedAt, s.asked = h.lastAsk, now, tokens
-	h.asks[h.lastAsk] = &ask{account: a.account, slot: s.slot, at: now}
+	h.asks[h.lastAsk] = &ask{account: a.account, slot: s.Slot, at: now}
 	h.askOrder = append(h.askOrder, h.lastAsk)
 	h.emit(Ask{message.TokenAsk{
 		Ask:     h.lastAsk,
-		Slot:    s.slot,
+		Slot:    s.Slot,
 		Account: a.account,
 		Tokens:  tokens,
-		Settled: a.takeDone(now, s.slot),
+		Ahead:   max(0, tokens-len(a.waiters)),
+		Settled: a.takeDone(now, s.Slot),
 	}})
 }
 
@@ -150,6 +172,7 @@
 		s.awayUntil = now.Add(notOwnerFor)
 		return
 	}
+	s.left, s.leftAt = float64(m.Left), now
 	if m.NextToken > 0 || m.Tokens == 0 {
 		s.emptyUntil = now.Add(min(max(m.NextToken, minEmpty), maxEmpty))
 	}
@@ -178,7 +201,7 @@
 }
 
 func (a *holding) settleDelay(now model.Instant) time.Duration {
-	if a.demand.isSteady(now) {
+	if target, _ := a.ahead(now); target > 0 {
 		return settleLate
 	}
 	return settleSoon
--- a/decision/admission/bucket.go
+++ b/decision/admission/bucket.go
@@ -67,13 +67,14 @@
 	}
 }
 
-// grant takes up to wanted whole tokens. Only half of the level goes into one
-// grant of several tokens, so that a host that asks ahead leaves some for the
-// others.
-func (b *bucket) grant(id uint64, wanted int, expires model.Instant, limit Limit) int {
+// grant takes the needed whole tokens, and of those asked for ahead a part of
+// what is left, so that no host keeps tokens that others need now.
+func (b *bucket) grant(id uint64, needed, ahead int, expires model.Instant, limit Limit) int {
 	whole := int(b.level + roundingSlack)
-	tokens := min(wanted, max(1, (whole+1)/2), whole, maxOutstanding(limit.Burst)-b.outstanding)
-	if tokens <= 0 {
+	room := maxOutstanding(limit.Burst) - b.outstanding
+	tokens := max(0, min(needed, whole, room))
+	tokens += max(0, min(ahead, (whole-tokens)/2, (room-tokens)/4))
+	if tokens == 0 {
 		return 0
 	}
 	b.level -= float64(tokens)
--- a/decision/admission/demand.go
+++ b/decision/admission/demand.go
@@ -17,6 +17,9 @@
 	lowFor = 100 * time.Millisecond
 	// steadyRate is the requests a second from which tokens are asked ahead.
 	steadyRate = 4
+	// holders is how many hosts can hold tokens ahead before they take all of
+	// an account's burst.
+	holders = 16
 )
 
 // demand is an exponential average of an account's requests a second at this
@@ -35,14 +38,16 @@
 	return d.rate * math.Exp(-now.Sub(d.at).Seconds()/demandTime.Seconds())
 }
 
-func (d *demand) isSteady(now model.Instant) bool { return d.now(now) >= steadyRate }
-
 // ahead returns the tokens to hold for steady demand, and below how many more
-// are asked for. Both are zero for an account that is rarely active.
-func (d *demand) ahead(now model.Instant) (target, low int) {
-	rate := d.now(now)
-	if rate < steadyRate {
+// are asked for. Both are zero for an account that is rarely active or whose
+// burst is too small to be held by many hosts.
+func (a *holding) ahead(now model.Instant) (target, low int) {
+	rate := a.demand.now(now)
+	most := a.burst / holders
+	if rate < steadyRate || most < 2 {
 		return 0, 0
 	}
-	return int(math.Ceil(rate * aheadFor.Seconds())), int(math.Ceil(rate * lowFor.Seconds()))
+	target = min(most, int(math.Ceil(rate*aheadFor.Seconds())))
+	low = min(target, int(math.Ceil(rate*lowFor.Seconds())))
+	return target, low
 }
--- a/decision/admission/holder.go
+++ b/decision/admission/holder.go
@@ -29,8 +29,9 @@
 	// surplusFor is how long a host without steady demand keeps unused tokens.
 	surplusFor = 100 * time.Millisecond
 	// settleSoon and settleLate are how long a used grant waits to be settled
-	// together with the next ask, without and with steady demand.
-	settleSoon = 5 * time.Millisecond
+	// together with the next ask, for accounts that get one token at a time and
+	// for those that ask ahead.
+	settleSoon = 2 * time.Millisecond
 	settleLate = 50 * time.Millisecond
 	// askMemory is how long an ask is remembered, so that a repeated answer is
 	// recognized. Grants of forgotten asks have expired.
@@ -74,9 +75,16 @@
 func (Admitted) result() {}
 func (Refused) result()  {}
 
-// Sources returns the slots that hold an account's shares, the preferred
-// first.
-type Sources func(model.AccountID) []model.SlotID
+// Source is a slot that holds a share of an account.
+type Source struct {
+	Slot  model.SlotID
+	Limit Limit // of the share
+	// IsNear is true in this host's failure domain.
+	IsNear bool
+}
+
+// Sources returns the sources of an account.
+type Sources func(model.AccountID) []Source
 
 // Holder is the tokens that a host holds of slot owners. Make it with
 // NewHolder.
@@ -96,6 +104,7 @@
 	account    model.AccountID
 	generation int
 	sources    []source
+	burst      int // sum of the sources
 	grants     []held
 	waiters    []waiter
 	demand     demand
@@ -126,7 +135,9 @@
 
 // source is the owner of one share of an account, as far as known.
 type source struct {
-	slot       model.SlotID
+	Source
+	left       float64 // tokens at leftAt
+	leftAt     model.Instant
 	emptyUntil model.Instant
 	awayUntil  model.Instant
 	ask        uint64 // under way; 0: none
@@ -276,30 +287,33 @@
 	}
 	if a.generation != h.generation {
 		a.generation = h.generation
-		a.setSources(h.sources(account))
+		a.setSources(now, h.sources(account))
 	}
 	return a
 }
 
 // setSources takes the account's slots and keeps what is known of those that
 // stay.
-func (a *holding) setSources(slots []model.SlotID) {
+func (a *holding) setSources(now model.Instant, sources []Source) {
 	before := a.sources
-	a.sources = make([]source, 0, len(slots))
-	for _, id := range slots {
-		kept := source{slot: id}
+	a.sources = make([]source, 0, len(sources))
+	a.burst = 0
+	for _, configured := range sources {
+		kept := source{left: float64(configured.Limit.Burst), leftAt: now}
 		for _, s := range before {
-			if s.slot == id {
+			if s.Slot == configured.Slot {
 				kept = s
 			}
 		}
+		kept.Source = configured
 		a.sources = append(a.sources, kept)
+		a.burst += configured.Limit.Burst
 	}
 }
 
 func (a *holding) source(slot model.SlotID) *source {
 	for i := range a.sources {
-		if a.sources[i].slot == slot {
+		if a.sources[i].Slot == slot {
 			return &a.sources[i]
 		}
 	}
@@ -335,11 +349,11 @@
 // expire drops grants whose validity has ended and marks tokens to return.
 func (a *holding) expire(now model.Instant) {
 	a.grants = slices.DeleteFunc(a.grants, func(g held) bool { return g.until <= now })
-	isSteady := a.demand.isSteady(now)
+	target, _ := a.ahead(now)
 	for i := range a.grants {
 		g := &a.grants[i]
 		isOld := g.until.Add(-returnBefore) <= now
-		isSurplus := !isSteady && len(a.waiters) == 0 && g.gotAt.Add(surplusFor) <= now
+		isSurplus := target == 0 && len(a.waiters) == 0 && g.gotAt.Add(surplusFor) <= now
 		g.isBack = g.isBack || isOld || isSurplus
 	}
 }
@@ -453,12 +467,13 @@
 }
 
 func (a *holding) grantDue(now model.Instant, g *held) model.Instant {
+	target, _ := a.ahead(now)
 	switch {
 	case g.isDone():
 		return max(g.usedAt, g.gotAt).Add(a.settleDelay(now))
 	case g.isBack:
 		return g.until
-	case g.left > 0 && !a.demand.isSteady(now):
+	case g.left > 0 && target == 0:
 		return g.gotAt.Add(surplusFor)
 	default:
 		return g.until.Add(-returnBefore)
--- a/decision/admission/owner.go
+++ b/decision/admission/owner.go
@@ -114,11 +114,13 @@
 	if ask.Tokens <= 0 {
 		return answer
 	}
-	answer.Tokens = b.grant(s.grants+1, ask.Tokens, now.Add(Validity), limit)
+	ahead := min(max(ask.Ahead, 0), ask.Tokens)
+	answer.Tokens = b.grant(s.grants+1, ask.Tokens-ahead, ahead, now.Add(Validity), limit)
 	if answer.Tokens > 0 {
 		s.grants++
 		answer.Grant = s.grants
 	}
+	answer.Left = max(0, int(b.level))
 	answer.NextToken = b.next(limit)
 	return answer
 }
--- a/decision/admission/share.go
+++ b/decision/admission/share.go
@@ -13,28 +13,33 @@
 	Burst int     // tokens
 }
 
+// minShare is the least tokens of a share, unless the whole burst is less. A
+// share that is full accrues nothing while another one is short, so many small
+// shares would refuse requests within rate that one bucket admits.
+const minShare = 4
+
 // Share returns the part of an account's limit that the slot in one of several
-// failure domains gets. The rate is split evenly and the burst into whole
-// tokens, the remainder one each to the domains from a start that depends on
-// the account. A burst smaller than the number of domains gives one token and
-// an even part of the rate to as many domains, and nothing to the others. So
-// shares always sum to the limit, and no share falls when the burst rises,
-// which keeps the bound while owners still differ in their configuration. (A
-// change of a burst below the number of domains moves rate between domains;
-// until it is in force everywhere the rates may sum to old plus new.)
+// failure domains gets. There are as many shares as domains, or fewer where a
+// share would have less than minShare tokens; a burst below 2 × minShare stays
+// whole. The rate is split evenly and the burst into whole tokens, the
+// remainder one each, over the domains from a start that depends on the
+// account. So shares always sum to the limit. While owners still differ in
+// their configuration, the sum is at most the higher limit as long as the
+// number of shares stays the same, else at most the sum of both.
 func Share(account model.AccountID, limit Limit, domain, domains int) Limit {
 	if limit.Burst <= 0 || domains <= 0 {
 		return Limit{}
 	}
+	shares := min(domains, max(1, limit.Burst/minShare))
 	place := (domain + int(hashOf(account)%uint64(domains))) % domains
-	burst := limit.Burst / domains
-	if place < limit.Burst%domains {
-		burst++
-	}
-	if burst == 0 {
+	if place >= shares {
 		return Limit{}
 	}
-	return Limit{Rate: limit.Rate / float64(min(limit.Burst, domains)), Burst: burst}
+	burst := limit.Burst / shares
+	if place < limit.Burst%shares {
+		burst++
+	}
+	return Limit{Rate: limit.Rate / float64(shares), Burst: burst}
 }
 
 // SlotIndex returns the index, in each failure domain, of the slot that holds
--- a/decision/fleettest/fleet.go
+++ b/decision/fleettest/fleet.go
@@ -39,8 +39,10 @@
 	Store *Store
 	// Cut holds the one-way lines that lose everything.
 	Cut map[Direction]bool
-	// Sent are the first bytes that were written to backend servers.
-	Sent []Sent
+	// Admitted are the requests that were forwarded, by their first attempt.
+	Admitted []Admission
+	// Written is when the first byte of each attempt was written.
+	Written []Admission
 	// Outcomes are the finished requests.
 	Outcomes []Outcome
 	Notices  []Notice
@@ -55,8 +57,8 @@
 // Direction is a one-way line.
 type Direction struct{ From, To model.HostID }
 
-// Sent is a request that began to run.
-type Sent struct {
+// Admission is a request at the time of an attempt.
+type Admission struct {
 	At      time.Duration
 	Host    model.HostID
 	Request model.RequestID
@@ -96,12 +98,13 @@
 func (f *Fleet) Start(entry model.HostEntry) *Host {
 	f.incarnation++
 	h := &Host{
-		Ref:    model.HostRef{ID: model.HostID(entry.ID), Incarnation: f.incarnation},
-		Entry:  entry,
-		State:  decision.NewState(),
-		fleet:  f,
-		alive:  true,
-		offset: model.Instant(f.rand.Int64N(int64(time.Hour))),
+		Ref:      model.HostRef{ID: model.HostID(entry.ID), Incarnation: f.incarnation},
+		Entry:    entry,
+		State:    decision.NewState(),
+		fleet:    f,
+		alive:    true,
+		admitted: make(map[model.RequestID]bool),
+		offset:   model.Instant(f.rand.Int64N(int64(time.Hour))),
 	}
 	f.Hosts[h.Ref.ID] = h
 	h.Post(event.Started{Self: h.Ref, Domain: entry.Domain, Seed: f.rand.Uint64()})
--- a/decision/fleettest/host.go
+++ b/decision/fleettest/host.go
@@ -31,6 +31,7 @@
 	stopping bool
 	waiting  []func() // what happened while paused
 	offset   model.Instant
+	admitted map[model.RequestID]bool
 	timer    uint64 // serial of the last SetTimer
 	version  uint64 // of the snapshot in force
 }
@@ -104,7 +105,7 @@
 	case effect.SwapSlot:
 		h.fleet.Store.swap(h, f)
 	case effect.Forward:
-		h.after(h.fleet.between(0, writeDelay), func() { h.write(f) })
+		h.forward(f)
 	case effect.Deliver:
 		h.answered(f.Request)
 	case effect.Refuse:
@@ -142,6 +143,20 @@
 	})
 }
 
+// forward counts the request as admitted at the time of the decision. The
+// first byte follows a little later.
+func (h *Host) forward(f effect.Forward) {
+	if !h.admitted[f.Request] {
+		h.admitted[f.Request] = true
+		h.fleet.Admitted = append(h.fleet.Admitted, h.admission(f))
+	}
+	h.after(h.fleet.between(0, writeDelay), func() { h.write(f) })
+}
+
+func (h *Host) admission(f effect.Forward) Admission {
+	return Admission{h.fleet.Now, h.Ref.ID, f.Request, f.Account}
+}
+
 // write begins an attempt unless its time has passed.
 func (h *Host) write(f effect.Forward) {
 	ended := event.AttemptEnded{Request: f.Request, Server: f.Server}
@@ -150,7 +165,7 @@
 		h.Post(ended)
 		return
 	}
-	h.fleet.Sent = append(h.fleet.Sent, Sent{h.fleet.Now, h.Ref.ID, f.Request, f.Account})
+	h.fleet.Written = append(h.fleet.Written, h.admission(f))
 	ended.Result = model.AttemptResult{Verdict: model.Ran, Status: 200}
 	h.after(serviceTime, func() { h.Post(ended) })
 }
--- a/decision/limits_tokens.go
+++ b/decision/limits_tokens.go
@@ -161,20 +161,21 @@
 	}
 }
 
-// tokenSources returns the slots that hold an account's shares, that of this
-// host's failure domain first.
-func (s *State) tokenSources(account model.AccountID) []model.SlotID {
+// tokenSources returns the slots that hold an account's shares, beginning with
+// this host's failure domain.
+func (s *State) tokenSources(account model.AccountID) []tokens.Source {
 	if s.snapshot == nil {
 		return nil
 	}
 	index := tokens.SlotIndex(account, s.snapshot.SlotsPerDomain)
-	var sources []model.SlotID
+	var sources []tokens.Source
 	own := max(0, slices.Index(s.snapshot.Domains, s.domain))
 	for i := range s.snapshot.Domains {
 		domain := s.snapshot.Domains[(own+i)%len(s.snapshot.Domains)]
 		id := model.SlotID{Domain: domain, Index: index}
-		if s.shareOf(id)(account).Burst > 0 {
-			sources = append(sources, id)
+		limit := s.shareOf(id)(account)
+		if limit.Burst > 0 {
+			sources = append(sources, tokens.Source{Slot: id, Limit: limit, IsNear: domain == s.domain})
 		}
 	}
 	return sources
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -71,6 +71,7 @@
 	Slot    model.SlotID
 	Account model.AccountID
 	Tokens  int // wanted; 0 only settles
+	Ahead   int // of Tokens, those that no request waits for
 	Settled []Settlement
 }
 
@@ -91,6 +92,8 @@
 	Tokens  int
 	// NotOwner says that the receiver of the ask does not own the slot.
 	NotOwner bool
+	// Left is how many whole tokens the share has left.
+	Left int
 	// NextToken is when a token will have accrued, counted from the answer.
 	NextToken time.Duration
 }
