--- a/decision/fleettest/host.go
+++ b/decision/fleettest/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollensail.dev/decision"
+	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/model"
@@ -30,12 +31,17 @@
 	stopping bool
 	waiting  []func() // what happened while paused
 	offset   model.Instant
+	admitted map[model.RequestID]bool
 	timer    uint64 // serial of the last SetTimer
+	version  uint64 // of the snapshot in force
 }
 
 // Alive reports whether the host runs or is paused.
 func (h *Host) Alive() bool { return h.alive }
 
+// Running reports whether the host runs and is not paused.
+func (h *Host) Running() bool { return h.alive && !h.paused }
+
 // Serving reports whether the host runs and has not been asked to stop.
 func (h *Host) Serving() bool { return h.alive && !h.stopping }
 
@@ -99,7 +105,7 @@
 	case effect.SwapSlot:
 		h.fleet.Store.swap(h, f)
 	case effect.Forward:
-		h.after(h.fleet.between(0, writeDelay), func() { h.write(f) })
+		h.forward(f)
 	case effect.Deliver:
 		h.answered(f.Request)
 	case effect.Refuse:
@@ -117,6 +123,14 @@
 	}
 }
 
+// configure puts a snapshot into force, unless a newer one is.
+func (h *Host) configure(snapshot *configuration.Snapshot) {
+	if snapshot.Version > h.version {
+		h.version = snapshot.Version
+		h.fleet.Configure(h.State, snapshot)
+	}
+}
+
 func (h *Host) after(d time.Duration, run func()) {
 	h.fleet.After(d, func() { h.do(run) })
 }
@@ -131,6 +145,20 @@
 	})
 }
 
+// forward counts the request as admitted at the time of the decision. The
+// first byte follows a little later.
+func (h *Host) forward(f effect.Forward) {
+	if !h.admitted[f.Request] {
+		h.admitted[f.Request] = true
+		h.fleet.Admitted = append(h.fleet.Admitted, h.admission(f))
+	}
+	h.after(h.fleet.between(0, writeDelay), func() { h.write(f) })
+}
+
+func (h *Host) admission(f effect.Forward) Admission {
+	return Admission{h.fleet.Now, h.Ref.ID, f.Request, f.Account}
+}
+
 // write begins an attempt unless its time has passed.
 func (h *Host) write(f effect.Forward) {
 	ended := event.AttemptEnded{Request: f.Request, Server: f.Server}
@@ -139,7 +167,7 @@
 		h.Post(ended)
 		return
 	}
-	h.fleet.Sent = append(h.fleet.Sent, Sent{h.fleet.Now, h.Ref.ID, f.Request, f.Account})
+	h.fleet.Written = append(h.fleet.Written, h.admission(f))
 	ended.Result = model.AttemptResult{Verdict: model.Ran, Status: 200}
 	h.after(serviceTime, func() { h.Post(ended) })
 }
--- a/decision/health/coordinator.go
+++ b/decision/health/coordinator.go
@@ -13,8 +13,10 @@
 	// repeatInterval is the time between publications of an unchanged set.
 	repeatInterval = 2 * time.Second
 	// repeatSoon is the time from a change to its first repetition, which
-	// reaches the hosts whose first copy was lost.
-	repeatSoon = 250 * time.Millisecond
+	// reaches the hosts whose first copy was lost. Further ones follow after
+	// ever longer times, by repeatFactor.
+	repeatSoon   = 100 * time.Millisecond
+	repeatFactor = 3
 	// decideInterval bounds the work of a coordinator that gets many reports.
 	decideInterval = 50 * time.Millisecond
 )
@@ -23,7 +25,6 @@
 // slot. Make it with NewCoordinator.
 type Coordinator struct {
 	term      uint64
-	started   model.Instant
 	domains   map[model.DomainID]int // to an index
 	reporters reporters
 	suspects  map[model.ServerID]*suspect
@@ -34,6 +35,7 @@
 	decideAt   model.Instant // model.Never: nothing new
 	decided    model.Instant
 	publishAt  model.Instant // model.Never: nothing to say
+	repeat     time.Duration // to the next repetition
 	atFloor    bool
 }
 
@@ -43,14 +45,14 @@
 // that it did not inherit.
 func NewCoordinator(now model.Instant, term uint64, isFirst bool, inherited message.EjectionSet) *Coordinator {
 	c := &Coordinator{
-		term:      term,
-		started:   now,
-		domains:   make(map[model.DomainID]int),
-		reporters: make(reporters),
-		suspects:  make(map[model.ServerID]*suspect),
-		published: make(map[model.ServerID]model.Instant),
-		decideAt:  model.Never,
-		publishAt: model.Never,
+		term:       term,
+		quietUntil: now,
+		domains:    make(map[model.DomainID]int),
+		reporters:  make(reporters),
+		suspects:   make(map[model.ServerID]*suspect),
+		published:  make(map[model.ServerID]model.Instant),
+		decideAt:   model.Never,
+		publishAt:  model.Never,
 	}
 	if !isFirst {
 		c.quietUntil = now.Add(linger)
@@ -76,7 +78,7 @@
 		c.published[id] = now
 	}
 	if len(c.published) > 0 {
-		c.publishAt = now
+		c.change(now)
 	}
 }
 
@@ -99,8 +101,8 @@
 
 func tallyOf(e message.ServerEvidence) tally {
 	t := tally{OK: e.OK - e.Slow}
-	t.Bad[failing] = e.Failed
-	t.Bad[slow] = e.Slow
+	t.Bad[failing] = e.Failed - e.TimedOut
+	t.Bad[late] = e.Slow + e.TimedOut
 	return t
 }
 
@@ -161,14 +163,18 @@
 			delete(c.published, id)
 		}
 	}
-	switch {
-	case len(c.published) == 0:
+	if len(c.published) == 0 {
 		c.publishAt = model.Never
-	case now < c.decided.Add(repeatSoon):
-		c.publishAt = c.decided.Add(repeatSoon)
-	default:
-		c.publishAt = now.Add(repeatInterval)
+		return
 	}
+	c.publishAt = now.Add(c.repeat)
+	c.repeat = min(c.repeat*repeatFactor, repeatInterval)
+}
+
+// change makes a publication due now, with quick repetitions.
+func (c *Coordinator) change(now model.Instant) {
+	c.publishAt = now
+	c.repeat = repeatSoon
 }
 
 // inPhase returns the servers in a phase, the worst first.
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -27,7 +27,8 @@
 		s.serverDrains(r.server)
 	}
 	if result.Streaming {
-		r.streamed = &result
+		streamed := result
+		r.streamed = &streamed
 		return
 	}
 	s.takeFinding(r, result)
@@ -73,6 +74,7 @@
 		Class:   r.route.Class,
 		Result:  result,
 		InTrial: slices.Contains(s.servers.inForce[service].trial, r.server),
+		Loaded:  pool.IsSaturated(s.now),
 	})
 	pool.Avoid(r.server, monitor.AvoidUntil(r.server))
 	s.setEvidenceTimer(monitor.Due(s.rateInterval()))
