--- a/decision/configuration/edit_test.go
+++ b/decision/configuration/edit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -95,6 +96,32 @@
 	})
 }
 
+// TestBuildOfShardsEqualsCompile guards against a host that serves by other
+// settings than those that pollenctl validated.
+func TestBuildOfShardsEqualsCompile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := treeGenerator().Draw(t, "tree")
+		if rapid.Bool().Draw(t, "valid") {
+			tree = largeTree(400, 90, 5)
+			tree.Set("routes/area07", "timeout", rapid.SampledFrom([]string{"1s", "2m", "3"}).Draw(t, "timeout"))
+		}
+		b := NewBuild(1)
+		parts := Split(tree)
+		for _, isInner := range []bool{true, false} {
+			for name, branches := range parts {
+				if IsInnerShard(name) == isInner {
+					b.Add(name, branches)
+				}
+			}
+		}
+		got, problems := b.Finish()
+		want, again := Compile(tree, 1)
+		if len(problems) != len(again) || !reflect.DeepEqual(got, want) {
+			t.Fatalf("problems\n%v\nand\n%v", problems, again)
+		}
+	})
+}
+
 // TestSplitSizeAndStability guards against shards that are too large for the
 // store and against a small edit that rewrites many of them.
 func TestSplitSizeAndStability(t *testing.T) {
--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"crypto/subtle"
 	"time"
 
 	"pollensail.dev/decision/model"
@@ -70,13 +71,19 @@
 	ColdRamp time.Duration
 }
 
-// Account returns the account that owns the key.
+// AccountOf returns the account that owns the key. The lookup by SHA-256 tells
+// nothing by its duration, because a caller cannot choose the hash byte by byte;
+// the hash that is found is compared in constant time.
 func (s *Snapshot) AccountOf(key model.KeyHash) (*Account, bool) {
-	id, ok := s.Keys[key]
+	account, ok := s.Accounts[s.Keys[key]]
 	if !ok {
 		return nil, false
 	}
-	return s.Accounts[id], true
+	isOwner := 0
+	for i := range account.Keys {
+		isOwner |= subtle.ConstantTimeCompare(account.Keys[i][:], key[:])
+	}
+	return account, isOwner == 1
 }
 
 // Match returns the route with the longest path that is a prefix of path.
--- a/host/cmd/pollenctl/tool.go
+++ b/host/cmd/pollenctl/tool.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -90,9 +91,9 @@
 		return nil
 	}
 	flags := root.PersistentFlags()
-	flags.StringVar(&t.store, "store", os.Getenv("POLLENSAIL_STORE"), `"ip:port" of the platform's store (default $POLLENSAIL_STORE)`)
+	flags.StringVar(&t.store, "store", "", `"ip:port" of the platform's store (default $POLLENSAIL_STORE)`)
 	flags.StringVar(&t.output, "output", outputText, "form of the output: text or json")
-	flags.StringVar(&t.author, "author", os.Getenv("USER"), "name to record with an edit")
+	flags.StringVar(&t.author, "author", cmp.Or(os.Getenv("USER"), "unknown"), "name to record with an edit (default $USER)")
 	flags.DurationVar(&t.timeout, "timeout", defaultTimeout, "longest time for the whole command")
 	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand(), t.statusCommand())
 	return root
@@ -113,10 +114,11 @@
 
 // repository opens the store of the --store flag.
 func (t *tool) repository() (*operate.Repository, error) {
-	if t.store == "" {
+	address := cmp.Or(t.store, os.Getenv("POLLENSAIL_STORE"))
+	if address == "" {
 		return nil, usageError{errors.New(`no store: expected --store "ip:port" or POLLENSAIL_STORE`)}
 	}
-	return operate.NewRepository(t.openStore(t.store)), nil
+	return operate.NewRepository(t.openStore(address)), nil
 }
 
 // action is the work of a command that needs the store.
--- a/host/cmd/pollenctl/tool_test.go
+++ b/host/cmd/pollenctl/tool_test.go
@@ -116,6 +116,7 @@
 	r.must("help")
 	r.must("check", valid)
 	r.must("completion", "bash")
+	r.must("tree", "set", "/", "domains=north,south")
 	r.fails(exitNotDone, `.*invalid.toml:5: accounts/ntnu burst = "0": expected a whole number.*`, "check", invalid)
 	r.fails(exitNotDone, `.*invalid.toml:5: accounts/ntnu burst = "0": expected a whole number.*`, "tree", "apply", invalid)
 	r.fails(exitNotDone, `.*bad.toml:1: .*expected valid TOML.*`, "check", r.file("bad.toml", "rate 5"))
