--- a/decision/config.go
+++ b/decision/config.go
@@ -102,6 +102,7 @@
 		s.askVersions()
 		return
 	}
+	s.storeReached()
 	c.storeVersion = max(c.storeVersion, e.StoreVersion)
 	if e.Root.Version > 0 {
 		s.considerRoot(e.Root, "")
