--- a/host/frontend/answer.go
+++ b/host/frontend/answer.go
@@ -35,6 +35,7 @@
 	source := &bodySource{answer: x.answer, body: body}
 	x.answer = nil // source releases it
 	out.SetBodyStream(source, size)
+	out.ImmediateHeaderFlush = true // the body may be slow to come
 	x.expect(max(size, 0), source)
 }
 
--- a/host/frontend/delivery_test.go
+++ b/host/frontend/delivery_test.go
@@ -101,6 +101,56 @@
 	<-cancelled
 }
 
+// TestRetainedAttemptGoesOn guards against a retry that finds no answer: an
+// attempt whose answer is retained does not end with its caller.
+func TestRetainedAttemptGoesOn(t *testing.T) {
+	c := qt.New(t)
+	asked, left := make(chan struct{}), make(chan struct{})
+	h := startHost(c, func(conn net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		close(asked)
+		<-left
+		time.Sleep(2 * watchDelay) // a watch would have noticed by now
+		_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nfiled")
+	})
+	held := h.hold()
+	conn, _ := send(c, h.address, get)
+	forward := h.forward(<-held).(effect.Forward)
+	forward.RetainAnswer = 100
+	h.frontend.Apply(forward)
+	<-asked
+	_ = conn.Close()
+	close(left)
+	result := (<-held).(event.AttemptEnded).Result
+	c.Check(result.Verdict, qt.Equals, model.Ran)
+	c.Check(string(result.Answer.Body), qt.Equals, "filed")
+}
+
+// TestStreamPastDeadline guards against a server that is blamed for a stream
+// that only its deadline ended.
+func TestStreamPastDeadline(t *testing.T) {
+	c := qt.New(t)
+	h := startHost(c, func(conn net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\nseason")
+		_, _ = in.ReadByte()
+	})
+	h.decide = func(body event.Body) effect.Effect {
+		e := h.forward(body)
+		if forward, ok := e.(effect.Forward); ok {
+			forward.Deadline = h.clock.Now().Add(100 * time.Millisecond)
+			return forward
+		}
+		return e
+	}
+	_, in := send(c, h.address, get)
+	response, err := http.ReadResponse(in, nil)
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
+	c.Check(<-h.sent, qt.Equals, event.AnswerSent{Request: 1})
+}
+
 // endless is a body without an end.
 type endless struct{}
 
