Write log lines by an output of our own

The asynchronous writer of the logging library reads a line after it has handed it over; the race detector reported it in a run of four hosts.

--- a/host/telemetry/log.go
+++ b/host/telemetry/log.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -16,19 +17,15 @@
 // blocked output must not block the control goroutine.
 type Logger struct {
 	log.Logger
-	output *countingWriter
+	output *output
 }
 
 // NewLogger returns a logger of JSON lines. The level is debug, info, warn or
 // error.
 func NewLogger(w io.Writer, level string) *Logger {
-	output := &countingWriter{async: log.AsyncWriter{
-		Writer:        log.IOWriter{Writer: w},
-		ChannelSize:   logBacklog,
-		DiscardOnFull: true,
-	}}
+	output := newOutput(w)
 	return &Logger{
-		Logger: log.Logger{Level: log.ParseLevel(level), Writer: output},
+		Logger: log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: output}},
 		output: output,
 	}
 }
@@ -39,34 +36,57 @@
 // Close writes what waits. Lines that come later are lost.
 func (l *Logger) Close() error { return l.output.close() }
 
-type countingWriter struct {
-	async  log.AsyncWriter
-	lost   atomic.Uint64
+// output writes lines in a goroutine of its own. The logging library has such
+// a writer too, but it touches a line after it has handed it over, which the
+// race detector reports.
+type output struct {
+	lines chan []byte
+	ended chan error // gets the first error of the writer
+	lost  atomic.Uint64
+
 	mu     sync.RWMutex // keeps lines out of a closed channel
 	closed bool
 }
 
-func (w *countingWriter) close() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed {
-		return nil
+func newOutput(w io.Writer) *output {
+	o := &output{lines: make(chan []byte, logBacklog), ended: make(chan error, 1)}
+	go o.run(w)
+	return o
+}
+
+func (o *output) run(w io.Writer) {
+	var first error
+	for line := range o.lines {
+		if _, err := w.Write(line); err != nil && first == nil {
+			first = err
+		}
 	}
-	w.closed = true
-	return w.async.Close()
+	o.ended <- first
 }
 
-// WriteEntry implements log.Writer.
-func (w *countingWriter) WriteEntry(e *log.Entry) (int, error) {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	if w.closed {
-		w.lost.Add(1)
-		return 0, nil
+// Write implements io.Writer. It never blocks; the library reuses p.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	if o.closed {
+		o.lost.Add(1)
+		return len(p), nil
 	}
-	n, err := w.async.WriteEntry(e)
-	if err != nil {
-		w.lost.Add(1)
+	select {
+	case o.lines <- bytes.Clone(p):
+	default:
+		o.lost.Add(1)
+	}
+	return len(p), nil
+}
+
+func (o *output) close() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return nil
 	}
-	return n, err
+	o.closed = true
+	close(o.lines)
+	return <-o.ended
 }
--- a/host/telemetry/telemetry_test.go
+++ b/host/telemetry/telemetry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,6 +141,29 @@
 	c.Assert(code, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// TestConcurrentLines guards against lines that mix, get lost or race where
+// several adapters log at once.
+func TestConcurrentLines(t *testing.T) {
+	c := qt.New(t)
+	var output bytes.Buffer
+	logger := NewLogger(&output, "info")
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 100 {
+				logger.Info().Str("text", "x").Msg("line")
+			}
+		})
+	}
+	writers.Wait()
+	c.Assert(logger.Close(), qt.IsNil)
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	c.Assert(lines, qt.HasLen, 800)
+	for _, line := range lines {
+		c.Assert(json.Valid([]byte(line)), qt.IsTrue)
+	}
+}
+
 // blockedWriter is an output that takes nothing until it is released.
 type blockedWriter chan struct{}
 
