--- a/host/cmd/pollenctl/check.go
+++ b/host/cmd/pollenctl/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -19,22 +20,45 @@
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			file, err := t.readFile(args[0])
-			if err != nil {
-				return err
+			if err == nil && file.Subtree == "" {
+				err = file.Locate(args[0], configuration.Validate(file.Tree))
 			}
-			if file.Subtree != "" {
-				t.printf("%s: valid as a file; its settings are checked when it is applied\n", args[0])
-				return nil
-			}
-			if err := file.Locate(args[0], configuration.Validate(file.Tree)); err != nil {
-				return err
-			}
-			t.printf("%s: valid\n", args[0])
-			return nil
+			return t.printCheck(args[0], file, err)
 		},
 	}
 }
 
+type checkJSON struct {
+	File   string      `json:"file"`
+	Valid  bool        `json:"valid"`
+	Faults []faultJSON `json:"faults"`
+}
+
+type faultJSON struct {
+	Line     int    `json:"line"` // 0: unknown
+	Key      string `json:"key"`
+	Expected string `json:"expected"`
+}
+
+// printCheck prints the result of a check and returns err.
+func (t *tool) printCheck(name string, file treefile.File, err error) error {
+	var faults treefile.Errors
+	isChecked := err == nil || errors.As(err, &faults)
+	switch {
+	case isChecked && t.isJSON():
+		result := checkJSON{File: name, Valid: err == nil, Faults: make([]faultJSON, 0, len(faults))}
+		for _, f := range faults {
+			result.Faults = append(result.Faults, faultJSON{f.Line, f.Key, f.Expected})
+		}
+		return errors.Join(err, t.printJSON(result))
+	case err == nil && file.Subtree != "":
+		t.printf("%s: valid as a file; its settings are checked when it is applied\n", name)
+	case err == nil:
+		t.printf("%s: valid\n", name)
+	}
+	return err
+}
+
 func (t *tool) readFile(name string) (treefile.File, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
--- a/host/cmd/pollenctl/tool_test.go
+++ b/host/cmd/pollenctl/tool_test.go
@@ -119,6 +119,7 @@
 	r.must("tree", "set", "/", "domains=north,south")
 	r.fails(exitNotDone, `.*invalid.toml:5: accounts/ntnu burst = "0": expected a whole number.*`, "check", invalid)
 	r.fails(exitNotDone, `.*invalid.toml:5: accounts/ntnu burst = "0": expected a whole number.*`, "tree", "apply", invalid)
+	r.fails(exitNotDone, `.*invalid.toml:5: accounts/ntnu burst = "0": expected a whole number.*`, "tree", "diff", invalid)
 	r.fails(exitNotDone, `.*bad.toml:1: .*expected valid TOML.*`, "check", r.file("bad.toml", "rate 5"))
 	r.fails(exitNotDone, `routes/rings: service = "none": expected.*`, "tree", "set", "routes/rings", "service=none")
 	r.fails(exitNotDone, `there is no branch accounts/none`, "tree", "get", "accounts/none")
@@ -166,6 +167,13 @@
 	var result resultJSON
 	read(&result, "tree", "apply", r.file("tree.toml", tree))
 	r.c.Assert(result.Version, qt.Equals, uint64(1))
+	var check checkJSON
+	invalid := r.file("invalid.toml", strings.Replace(tree, "burst = 40", "burst = 0", 1))
+	code, out, _ := r.run("check", invalid, "--output", "json")
+	r.c.Assert(code, qt.Equals, exitNotDone)
+	r.c.Assert(json.Unmarshal([]byte(out), &check), qt.IsNil)
+	r.c.Assert(check.Faults, qt.HasLen, 1)
+	r.c.Assert(check.Faults[0].Line, qt.Equals, 5)
 	var grant grantJSON
 	read(&grant, "key", "grant", "ntnu")
 	r.c.Assert(grant.Hash, qt.Equals, operate.HashKey(grant.Key))
--- a/host/cmd/pollenctl/tree.go
+++ b/host/cmd/pollenctl/tree.go
@@ -218,7 +218,11 @@
 	if err != nil {
 		return err
 	}
-	err = t.apply(ctx, r, base, operate.WithFile(base.Tree, file), note)
+	return locate(file, name, t.apply(ctx, r, base, operate.WithFile(base.Tree, file), note))
+}
+
+// locate adds the lines of the file to the problems of an invalid tree.
+func locate(file treefile.File, name string, err error) error {
 	var invalid *operate.InvalidError
 	if errors.As(err, &invalid) {
 		return file.Locate(name, invalid.Problems)
@@ -247,7 +251,7 @@
 			}
 			changes, err := r.Preview(ctx, file)
 			if err != nil {
-				return err
+				return locate(file, args[0], err)
 			}
 			if t.isJSON() {
 				return t.printJSON(changesJSON(changes))
