--- a/host/cmd/pollenctl/tool.go
+++ b/host/cmd/pollenctl/tool.go
@@ -93,9 +93,9 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&t.store, "store", "", `"ip:port" of the platform's store (default $POLLENSAIL_STORE)`)
 	flags.StringVar(&t.output, "output", outputText, "form of the output: text or json")
-	flags.StringVar(&t.author, "author", cmp.Or(os.Getenv("USER"), "unknown"), "name to record with an edit (default $USER)")
+	flags.StringVar(&t.author, "author", cmp.Or(os.Getenv("USER"), "unknown"), "name to record with an edit")
 	flags.DurationVar(&t.timeout, "timeout", defaultTimeout, "longest time for the whole command")
-	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand(), t.statusCommand())
+	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand(), t.statusCommand(), settingsTopic())
 	return root
 }
 
--- a/host/cmd/pollenctl/tool_test.go
+++ b/host/cmd/pollenctl/tool_test.go
@@ -114,6 +114,7 @@
 	invalid := r.file("invalid.toml", strings.Replace(tree, "burst = 40", "burst = 0", 1))
 	r.must("tree", "apply", valid)
 	r.must("help")
+	r.c.Assert(r.must("help", "settings"), qt.Matches, `(?s).*\naccount\n.*  burst .*at least 1 \(required\)\n.*`)
 	r.must("check", valid)
 	r.must("completion", "bash")
 	r.must("tree", "set", "/", "domains=north,south")
