--- /dev/null
+++ b/decision/admission/holder_test.go
@@ -0,0 +1,168 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+var farSlot = model.SlotID{Domain: "d1"}
+
+func testSources(model.AccountID) []Source {
+	return []Source{
+		{Slot: testSlot, Limit: testLimit, IsNear: true},
+		{Slot: farSlot, Limit: testLimit},
+	}
+}
+
+// drain returns the results of a holder.
+func drain(h *Holder) (results []Result) {
+	for {
+		r, ok := h.Next()
+		if !ok {
+			return results
+		}
+		results = append(results, r)
+	}
+}
+
+// askOf waits with request 1 and returns the ask that follows.
+func askOf(c *qt.C, h *Holder, now model.Instant) message.TokenAsk {
+	h.Wait(now, "a", 1)
+	results := drain(h)
+	c.Assert(results, qt.HasLen, 1)
+	return results[0].(Ask).Message
+}
+
+func grantFor(m message.TokenAsk, id uint64) message.TokenGrant {
+	return message.TokenGrant{Ask: m.Ask, Slot: m.Slot, Account: m.Account, Grant: id, Tokens: 1}
+}
+
+// returned returns the settlements among results.
+func returned(results []Result) (settled []message.Settlement) {
+	for _, r := range results {
+		if ask, ok := r.(Ask); ok {
+			settled = append(settled, ask.Message.Settled...)
+		}
+	}
+	return settled
+}
+
+// TestGrantIsUsedOnce guards against a repeated answer that yields more tokens
+// or returns tokens that were used.
+func TestGrantIsUsedOnce(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder(testSources)
+	ask := askOf(c, h, 0)
+	c.Assert(ask.Slot, qt.Equals, testSlot)
+	h.Granted(at(5), grantFor(ask, 7))
+	token := drain(h)[0].(Admitted).Token
+	c.Assert(token.Until, qt.Equals, at(2000)) // counted from the ask
+	h.Spend(at(6), token)
+	h.Granted(at(7), grantFor(ask, 7))
+	h.Tick(at(20))
+	c.Assert(returned(drain(h)), qt.DeepEquals, []message.Settlement{
+		{Grant: 7, Spent: 1, Age: 14 * time.Millisecond},
+	})
+	h.Granted(at(30), grantFor(ask, 7))
+	c.Assert(drain(h), qt.HasLen, 0)
+	h.Granted(at(40), grantFor(ask, 8))
+	c.Assert(returned(drain(h)), qt.DeepEquals, []message.Settlement{{Grant: 8}})
+	_, ok := h.Take(at(50), "a")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestLateGrantGoesBack guards against using an answer that waited, for
+// example because the process was paused.
+func TestLateGrantGoesBack(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder(testSources)
+	ask := askOf(c, h, 0)
+	h.Granted(at(501), grantFor(ask, 7))
+	c.Assert(returned(drain(h))[0], qt.Equals, message.Settlement{Grant: 7})
+	_, ok := h.Take(at(502), "a")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestHeldTokenExpires guards against a paused host that uses tokens after
+// their owner has counted them as expired.
+func TestHeldTokenExpires(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder(testSources)
+	ask := askOf(c, h, 0)
+	grant := grantFor(ask, 7)
+	grant.Tokens = 2
+	h.Granted(at(5), grant)
+	_, ok := h.Take(at(50), "a")
+	c.Assert(ok, qt.IsTrue)
+	h.Granted(at(60), grant)
+	_, ok = h.Take(at(2100), "a")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestRefusalReasons guards against a refusal that blames the caller when an
+// owner was unreachable, or the fleet when the tokens were spent.
+func TestRefusalReasons(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(*Holder, message.TokenAsk)
+		want   model.Reason
+	}{
+		{"no tokens anywhere", func(h *Holder, m message.TokenAsk) {
+			answer := grantFor(m, 0)
+			answer.Tokens, answer.NextToken = 0, time.Second
+			h.Granted(at(5), answer)
+		}, model.ReasonOverRate},
+		{"no answer", func(*Holder, message.TokenAsk) {}, model.ReasonTokensUnavailable},
+		{"no owner", func(h *Holder, m message.TokenAsk) { h.Unreachable(at(5), m) }, model.ReasonTokensUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := NewHolder(testSources)
+			h.Wait(0, "a", 1)
+			var refused []Refused
+			for ms := 1; ms <= 60; ms++ {
+				for _, r := range drain(h) {
+					switch r := r.(type) {
+					case Ask:
+						test.answer(h, r.Message)
+					case Refused:
+						refused = append(refused, r)
+					}
+				}
+				h.Tick(at(ms))
+			}
+			c.Assert(refused, qt.HasLen, 1)
+			c.Assert(refused[0].Reason, qt.Equals, test.want)
+		})
+	}
+}
+
+// BenchmarkTake measures one admission from held tokens, with the grant
+// renewed as needed.
+func BenchmarkTake(b *testing.B) {
+	h := NewHolder(testSources)
+	now := model.Instant(0)
+	refill := func() {
+		h.accounts["a"] = &holding{account: "a", grants: []held{{
+			slot: testSlot, id: 1, left: 1 << 30, until: now.Add(Validity),
+		}}}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		if i%1000 == 0 {
+			refill()
+		}
+		now += model.Instant(time.Millisecond)
+		token, ok := h.Take(now, "a")
+		if ok {
+			h.Spend(now, token)
+		}
+		drain(h)
+	}
+}
--- /dev/null
+++ b/decision/admission/owner_test.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+var (
+	testSlot  = model.SlotID{Domain: "d0"}
+	testLimit = Limit{Rate: 10, Burst: 10}
+)
+
+func at(ms int) model.Instant { return model.Instant(ms) * model.Instant(time.Millisecond) }
+
+// ownerStep is an ask at a time with the tokens that are granted.
+type ownerStep struct {
+	at      int // ms
+	tokens  int
+	settled []message.Settlement
+	want    int
+}
+
+// TestOwner guards against tokens that an owner grants twice, or does not
+// grant though they have accrued. Grants have the ids 1, 2, 3 in order.
+func TestOwner(t *testing.T) {
+	spent := func(grant uint64, n int, age time.Duration) []message.Settlement {
+		return []message.Settlement{{Grant: grant, Spent: n, Age: age}}
+	}
+	tests := []struct {
+		name  string
+		empty bool // the term follows a loss
+		steps []ownerStep
+	}{
+		{"half of the burst is outstanding at most", false, []ownerStep{
+			{0, 8, nil, 5}, {10, 1, nil, 0}, {1990, 1, nil, 0},
+		}},
+		{"an expired grant makes room for what accrues after it", false, []ownerStep{
+			{0, 5, nil, 5}, {2000, 5, nil, 5}, {2010, 1, nil, 0},
+		}},
+		{"unspent tokens return once", false, []ownerStep{
+			{0, 5, nil, 5}, {10, 5, spent(1, 0, 0), 5}, {20, 5, spent(1, 0, 0), 0},
+		}},
+		{"spent tokens do not return", false, []ownerStep{
+			{0, 5, nil, 5}, {1, 5, spent(1, 5, 0), 5}, {2, 5, spent(2, 5, 0), 0},
+		}},
+		{"a settlement of an unknown grant changes nothing", false, []ownerStep{
+			{0, 5, nil, 5}, {1, 5, spent(9, 0, 0), 0},
+		}},
+		{"a new owner starts without tokens", true, []ownerStep{
+			{0, 1, nil, 0}, {90, 1, nil, 0}, {110, 1, nil, 0}, {2000, 9, nil, 5},
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			o := NewOwner()
+			o.Begin(0, testSlot, 0, !test.empty)
+			for i, s := range test.steps {
+				answer := o.Answer(at(s.at), message.TokenAsk{
+					Slot: testSlot, Account: "a", Tokens: s.tokens, Settled: s.settled,
+				}, testLimit)
+				c.Assert(answer.Tokens, qt.Equals, s.want, qt.Commentf("step %d", i))
+			}
+		})
+	}
+}
+
+// TestMissedAccrual guards against crediting twice the time in which spent
+// tokens were still counted, and against not crediting it at all.
+func TestMissedAccrual(t *testing.T) {
+	c := qt.New(t)
+	b := &bucket{level: 10, fullSince: notFull}
+	b.grant(1, 1, 0, at(2000), testLimit)
+	b.grant(2, 1, 0, at(2000), testLimit)
+	b.accrue(at(500), testLimit)
+	c.Assert(b.level, qt.Equals, 8.0)
+	b.settle(at(500), message.Settlement{Grant: 1, Spent: 1, Age: 60 * time.Millisecond}, testLimit)
+	c.Assert(b.level > 8.59 && b.level < 8.61, qt.IsTrue)
+	b.settle(at(500), message.Settlement{Grant: 2, Spent: 1, Age: 60 * time.Millisecond}, testLimit)
+	c.Assert(b.level > 8.59 && b.level < 8.61, qt.IsTrue)
+}
+
+// TestLimitChange guards against a lowered limit that leaves tokens above it,
+// and a raised burst that yields tokens at once.
+func TestLimitChange(t *testing.T) {
+	c := qt.New(t)
+	b := &bucket{level: 10, fullSince: notFull}
+	b.accrue(at(0), Limit{Rate: 10, Burst: 4})
+	c.Assert(b.level, qt.Equals, 4.0)
+	b.accrue(at(100), Limit{Rate: 10, Burst: 20})
+	c.Assert(b.level, qt.Equals, 5.0)
+}
+
+// TestHandover guards against a successor that forgets outstanding grants,
+// levels or how full other buckets are.
+func TestHandover(t *testing.T) {
+	c := qt.New(t)
+	limitOf := func(model.AccountID) Limit { return testLimit }
+	before, after := NewOwner(), NewOwner()
+	before.Begin(at(0), testSlot, 1, true)
+	ask := message.TokenAsk{Slot: testSlot, Account: "a", Tokens: 5}
+	granted := before.Answer(at(100), ask, testLimit)
+	var offer message.HandoverOffer
+	before.Freeze(at(200), testSlot, &offer, limitOf)
+	c.Assert(offer.ZeroAge < 0, qt.IsTrue)
+	// The clocks of the two hosts differ.
+	after.Restore(at(50_000), testSlot, 2, offer)
+	c.Assert(after.Answer(at(50_010), ask, testLimit).Tokens, qt.Equals, 0)
+	ask.Settled = []message.Settlement{{Grant: granted.Grant, Spent: 5}}
+	c.Assert(after.Answer(at(50_020), ask, testLimit).Tokens, qt.Equals, 5)
+	other := message.TokenAsk{Slot: testSlot, Account: "b", Tokens: 5}
+	c.Assert(after.Answer(at(50_020), other, testLimit).Tokens, qt.Equals, 5)
+}
+
+// TestSweep guards against memory that grows with every account ever seen,
+// and against dropping a bucket that is less than full.
+func TestSweep(t *testing.T) {
+	c := qt.New(t)
+	o := NewOwner()
+	o.Begin(0, testSlot, 1, true)
+	o.Answer(0, message.TokenAsk{Slot: testSlot, Account: "a", Tokens: 5}, testLimit)
+	limitOf := func(model.AccountID) Limit { return testLimit }
+	o.Sweep(at(2100), testSlot, limitOf)
+	c.Assert(len(o.slots[testSlot].buckets), qt.Equals, 1)
+	o.Sweep(at(2600), testSlot, limitOf)
+	c.Assert(len(o.slots[testSlot].buckets), qt.Equals, 0)
+}
--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -13,3 +13,8 @@
 	_, ok := s.limits.slots.Owns(now, id)
 	return ok
 }
+
+// AuthorityOf returns the name of the host's authority at the given instant.
+func AuthorityOf(s *State, now model.Instant) string {
+	return s.limits.members.Authority(now).Authority.String()
+}
--- a/decision/limits.go
+++ b/decision/limits.go
@@ -20,8 +20,10 @@
 	// sweepEvery is the time between removals of idle buckets.
 	sweepEvery = 30 * time.Second
 	// storeReadAfter is how old the newest known store answer may become
-	// before this host reads the store itself.
-	storeReadAfter = 2 * time.Second
+	// before this host reads the store itself; ownStoreReadAfter is the same
+	// where that answer was its own.
+	storeReadAfter    = 2 * time.Second
+	ownStoreReadAfter = 800 * time.Millisecond
 	// stopTimeout is how long a planned stop waits for handovers.
 	stopTimeout = 20 * time.Second
 )
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -1,8 +1,6 @@
 package decision
 
 import (
-	"time"
-
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/membership"
@@ -84,11 +82,17 @@
 }
 
 // readStore reads a slot when no answer of the store has been heard of for
-// some time, to find out whether the store is down or just not in use.
+// some time, to find out whether the store is down or just not in use. A host
+// that knows of no answer after its own reads sooner: it may be the only one
+// that reaches the store, and the others need time to hear of it.
 func (s *State) readStore() {
-	stamp, ok := s.limits.members.StoreStamp()
-	isFresh := ok && s.now < stamp.Add(storeReadAfter)
-	if s.snapshot == nil || isFresh || s.now < s.limits.storeReadAt.Add(time.Second) {
+	after := storeReadAfter
+	stamp := s.limits.members.StoreStamp()
+	if stamp.Own {
+		after = ownStoreReadAfter
+	}
+	isFresh := stamp.Known && s.now < stamp.At.Add(after)
+	if s.snapshot == nil || isFresh || s.now < s.limits.storeReadAt.Add(ownStoreReadAfter) {
 		return
 	}
 	s.limits.storeReadAt = s.now
--- /dev/null
+++ b/decision/limits_scenarios_test.go
@@ -0,0 +1,181 @@
+package decision_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision"
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/fleettest"
+	"pollensail.dev/decision/model"
+)
+
+var firstSlot = model.SlotID{Domain: "d0"}
+
+// settledFleet returns a fleet with two hosts in each of three domains whose
+// slots have owners.
+func settledFleet(seed uint64, hosts int) *fleettest.Fleet {
+	accounts := []configuration.Account{{ID: "a", Rate: 50, Burst: 50}}
+	f := newFleet(seed, hosts, regionLine, limitsSnapshot(1, 3, accounts))
+	f.Run(20 * time.Second)
+	return f
+}
+
+func ownerOf(f *fleettest.Fleet, id model.SlotID) *fleettest.Host {
+	for _, entry := range f.Options.Hosts {
+		h := f.Hosts[model.HostID(entry.ID)]
+		if h.Running() && decision.OwnsSlot(h.State, h.Now(), id) {
+			return h
+		}
+	}
+	return nil
+}
+
+// timeUntil runs the fleet until the condition holds, for at most a minute.
+func timeUntil(c *qt.C, f *fleettest.Fleet, condition func() bool) time.Duration {
+	begin := f.Now
+	for !condition() {
+		c.Assert(f.Now-begin < time.Minute, qt.IsTrue, qt.Commentf("not within a minute"))
+		f.Run(10 * time.Millisecond)
+	}
+	return f.Now - begin
+}
+
+// TestPlannedStop guards against a stop that leaves a slot without an owner
+// for long, or breaks its continuity, with and without the store.
+func TestPlannedStop(t *testing.T) {
+	for _, storeDown := range []bool{false, true} {
+		c := qt.New(t)
+		f := settledFleet(1, 6)
+		f.Store.Down = storeDown
+		f.Run(10 * time.Second)
+		before := ownerOf(f, firstSlot)
+		before.Stop()
+		timeUntil(c, f, func() bool { return ownerOf(f, firstSlot) != before })
+		gap := timeUntil(c, f, func() bool { return ownerOf(f, firstSlot) != nil })
+		c.Logf("store down %v: no owner for %v", storeDown, gap)
+		c.Assert(gap < 2*time.Second, qt.IsTrue)
+		timeUntil(c, f, func() bool { return !before.Alive() })
+		after := ownerOf(f, firstSlot)
+		f.Store.Down = false
+		f.Run(5 * time.Second)
+		record, _ := f.Store.Record(firstSlot)
+		c.Assert(record.Owner, qt.Equals, after.Ref)
+		c.Assert(record.Term, qt.Equals, uint64(2))
+		c.Assert(record.Continuous, qt.IsTrue)
+	}
+}
+
+// TestTakeover guards against a lost owner that is not replaced, or replaced
+// before its lease and grace have passed.
+func TestTakeover(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(2, 6)
+	ownerOf(f, firstSlot).Kill()
+	gap := timeUntil(c, f, func() bool { return ownerOf(f, firstSlot) != nil })
+	c.Logf("no owner for %v", gap)
+	c.Assert(gap > 9*time.Second, qt.IsTrue)
+	c.Assert(gap < 15*time.Second, qt.IsTrue)
+	record, _ := f.Store.Record(firstSlot)
+	c.Assert(record.Term, qt.Equals, uint64(2))
+	c.Assert(record.Continuous, qt.IsFalse)
+}
+
+// TestFleetRestart guards against records of earlier lives that keep a slot
+// without an owner, and against slots that all end at one host.
+func TestFleetRestart(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(3, 6)
+	for _, entry := range f.Options.Hosts {
+		f.Hosts[model.HostID(entry.ID)].Kill()
+	}
+	for _, entry := range f.Options.Hosts {
+		f.Start(entry)
+	}
+	f.Run(20 * time.Second)
+	owners := make(map[model.HostRef]int)
+	for _, id := range f.Snapshot.Slots() {
+		owners[ownerOf(f, id).Ref]++
+	}
+	c.Assert(len(owners), qt.Equals, 6)
+}
+
+// TestPausedHostIsIsolated guards against a host that serves on what it knew
+// before a pause.
+func TestPausedHostIsIsolated(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(4, 6)
+	h := ownerOf(f, firstSlot)
+	h.Pause()
+	f.Run(5 * time.Second)
+	c.Assert(decision.AuthorityOf(h.State, h.Now()), qt.Equals, "isolated")
+	f.Line.Loss = 1 // nothing new arrives
+	f.Store.Down = true
+	h.Resume()
+	f.Run(time.Second)
+	c.Assert(decision.AuthorityOf(h.State, h.Now()), qt.Equals, "isolated")
+	c.Assert(ownerOf(f, firstSlot), qt.IsNil)
+}
+
+// TestStoreOutage guards against owners that stop in an outage, with a pause
+// of one host meanwhile, and against hosts that become isolated because
+// evidence spreads too slowly in a fleet of 40 with lossy lines.
+func TestStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(5, 40)
+	f.Line.Loss = 0.1
+	f.Store.Down = true
+	f.Run(15 * time.Second)
+	samples, isolated, unowned := 0, 0, 0
+	for range 600 {
+		f.Run(100 * time.Millisecond)
+		for _, entry := range f.Options.Hosts {
+			h := f.Hosts[model.HostID(entry.ID)]
+			samples++
+			if decision.AuthorityOf(h.State, h.Now()) == "isolated" {
+				isolated++
+			}
+		}
+		for _, id := range f.Snapshot.Slots() {
+			if ownerOf(f, id) == nil {
+				unowned++
+			}
+		}
+	}
+	c.Logf("isolated in %d of %d samples, slots without owner %d of %d", isolated, samples, unowned, 600*6)
+	c.Assert(isolated, qt.Equals, 0)
+	c.Assert(unowned, qt.Equals, 0)
+}
+
+// TestStoreReachedByOne guards against hosts that take an outage of their own
+// for one of all: one host of 40 reaches the store, the others hear of it and
+// owners renew through it.
+func TestStoreReachedByOne(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(6, 40)
+	f.Line.Loss = 0.1
+	for id := range f.Hosts {
+		f.Store.Unreachable[id] = id != "h0"
+	}
+	f.Run(15 * time.Second)
+	samples, connected := 0, 0
+	for range 600 {
+		f.Run(100 * time.Millisecond)
+		for _, entry := range f.Options.Hosts {
+			h := f.Hosts[model.HostID(entry.ID)]
+			samples++
+			if decision.AuthorityOf(h.State, h.Now()) == "connected" {
+				connected++
+			}
+		}
+	}
+	c.Logf("connected in %d of %d samples", connected, samples)
+	c.Assert(connected*100 >= samples*99, qt.IsTrue)
+	for _, id := range f.Snapshot.Slots() {
+		record, _ := f.Store.Record(id)
+		c.Assert(record.Term, qt.Equals, uint64(1))
+		c.Assert(ownerOf(f, id), qt.IsNotNil)
+	}
+}
--- a/decision/limits_tokens.go
+++ b/decision/limits_tokens.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	tokens "pollensail.dev/decision/admission"
 	"pollensail.dev/decision/message"
@@ -12,6 +13,9 @@
 type admission struct {
 	token     tokens.Token // zero grant: none, or spent
 	admitting bool         // admit runs
+	// readmitted is true while a request that has a place at a server goes
+	// through admission again.
+	readmitted bool
 }
 
 // admit takes a token of the request's account.
@@ -44,6 +48,28 @@
 	r.notAfter = min(r.notAfter, token.Until)
 }
 
+// minTokenLeft is what must be left of a token's validity at a forward: enough
+// to write the first byte.
+const minTokenLeft = 100 * time.Millisecond
+
+// ensureToken replaces a token that ran out while the request waited for a
+// server. It reports false when the request went back to admission. Requests
+// with a claim keep their token, because the claim ends at its own time.
+func (s *State) ensureToken(r *request) bool {
+	hasExpired := r.token.Grant != 0 && r.attempts == 0 && s.now.Add(minTokenLeft) >= r.token.Until
+	if !hasExpired || !r.route.Idempotent {
+		r.readmitted = false
+		return true
+	}
+	s.limits.holder.Release(s.now, r.token)
+	r.token = tokens.Token{}
+	r.notAfter = model.Never
+	r.stage = stageAdmit
+	r.readmitted = true
+	s.advance(r)
+	return false
+}
+
 // spendToken counts the request's token as used. A token is used when the
 // request is forwarded first; until then it is outstanding at its owner.
 func (s *State) spendToken(r *request) {
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -34,6 +34,7 @@
 	asked    map[uint64]model.Instant // own heartbeats that may be answered
 
 	storeKnown bool
+	storeOwn   bool
 	storeAt    model.Instant // no later than the newest store answer known
 
 	heardAt []model.Instant // scratch space of MajorityUntil
@@ -167,7 +168,7 @@
 		}
 	}
 	if m.StoreAge >= 0 {
-		s.StoreReached(sentAfter.Add(-m.StoreAge))
+		s.stamp(sentAfter.Add(-m.StoreAge), false)
 	}
 }
 
@@ -179,17 +180,26 @@
 	h.known, h.at, h.ref, h.young = true, at, ref, young
 }
 
-// StoreReached says that the store answered a call that left at the given
-// instant.
-func (s *State) StoreReached(at model.Instant) {
+// StoreReached says that the store answered a call of this host that left at
+// the given instant.
+func (s *State) StoreReached(at model.Instant) { s.stamp(at, true) }
+
+func (s *State) stamp(at model.Instant, own bool) {
 	if !s.storeKnown || at > s.storeAt {
-		s.storeKnown, s.storeAt = true, at
+		s.storeKnown, s.storeAt, s.storeOwn = true, at, own
 	}
 }
 
-// StoreStamp returns the instant of the newest store answer known. It reports
-// false when none is.
-func (s *State) StoreStamp() (model.Instant, bool) { return s.storeAt, s.storeKnown }
+// StoreStamp is the newest store answer known. The zero value says that none
+// is.
+type StoreStamp struct {
+	Known bool
+	At    model.Instant // no later than the answer
+	Own   bool          // this host got it, and has heard of no newer one
+}
+
+// StoreStamp returns the newest store answer known.
+func (s *State) StoreStamp() StoreStamp { return StoreStamp{s.storeKnown, s.storeAt, s.storeOwn} }
 
 // Member is a listed entry host.
 type Member struct {
--- a/decision/request.go
+++ b/decision/request.go
@@ -140,6 +140,9 @@
 }
 
 func (s *State) runStage(r *request) step {
+	if r.readmitted && r.stage != stageAdmit {
+		return stepNext
+	}
 	switch r.stage {
 	case stageAdmit:
 		return s.admit(r)
@@ -155,6 +158,9 @@
 		s.refuse(r, reason, 0)
 		return
 	}
+	if !s.ensureToken(r) {
+		return
+	}
 	r.attempts++
 	s.spendToken(r)
 	s.emit(effect.Forward{
--- /dev/null
+++ b/decision/slot/slot_test.go
@@ -0,0 +1,194 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+var (
+	testSlot = model.SlotID{Domain: "d0"}
+	self     = model.HostRef{ID: "h0", Incarnation: 1}
+	peer     = model.HostRef{ID: "h1", Incarnation: 1}
+	third    = model.HostRef{ID: "h2", Incarnation: 1}
+)
+
+func at(ms int) model.Instant { return model.Instant(ms) * model.Instant(time.Millisecond) }
+
+// fleetOf returns a fleet of three whose others are heard until then.
+func fleetOf(until model.Instant) Fleet {
+	f := Fleet{MajorityUntil: until}
+	for _, ref := range []model.HostRef{self, peer, third} {
+		f.Members = append(f.Members, Member{Ref: ref, Domain: "d0", Live: true, Heard: true, Staying: true})
+	}
+	f.Members[1].Domain, f.Members[2].Domain = "d1", "d1"
+	return f
+}
+
+func newState() *State {
+	s := New(self, 0)
+	s.SetSlots(0, []model.SlotID{testSlot})
+	return s
+}
+
+// tick calls Tick and returns the results.
+func (s *State) tick(ms int) []Result {
+	s.Tick(at(ms), fleetOf(at(ms)), func(*message.HandoverOffer) {})
+	return s.Take()
+}
+
+// owner returns a state that owns the slot since 0, by a swap sent then.
+func owner(c *qt.C) *State {
+	s := newState()
+	c.Assert(s.tick(0), qt.DeepEquals, []Result{Read{testSlot}})
+	s.OnRead(0, 0, fleetOf(0), event.SlotRead{Slot: testSlot})
+	swap := s.Take()[0].(Swap)
+	s.OnSwapped(0, 0, event.SlotSwapped{Slot: testSlot, Record: swap.Record, Version: 1})
+	c.Assert(s.Take(), qt.HasLen, 1)
+	return s
+}
+
+// TestOwnerPastLease guards against an owner that acts though another host may
+// have claimed its slot, and against one that stops in a store outage. The
+// lease of 6 s counts from 0.
+func TestOwnerPastLease(t *testing.T) {
+	intent := func(s *State, ms int) {
+		s.OnMessage(at(ms), 0, Fleet{}, peer, message.ClaimIntent{Slot: testSlot})
+		s.Take() // the acknowledgement
+	}
+	tests := []struct {
+		name string
+		do   func(*State)
+		at   int
+		want bool
+	}{
+		{"within the lease", func(*State) {}, 5499, true},
+		{"guard before its end", func(*State) {}, 5500, false},
+		{"past it, most hosts heard", func(s *State) { s.Latch(at(5900), at(9500)) }, 8999, true},
+		{"past the evidence", func(s *State) { s.Latch(at(5900), at(9500)) }, 9000, false},
+		{"past it, with an intent", func(s *State) {
+			s.Latch(at(5900), at(9500))
+			intent(s, 7000)
+		}, 7000, false},
+		{"with an intent heard of from another host", func(s *State) {
+			s.Latch(at(5900), at(9500))
+			s.Heard(at(7000), message.Heartbeat{Intents: []message.IntentHeard{{Slot: testSlot, Age: time.Second}}})
+		}, 7000, false},
+		{"within the lease, with an intent", func(s *State) { intent(s, 1000) }, 5000, true},
+		{"evidence that came back after a gap", func(s *State) {
+			s.Latch(at(5900), at(9500))
+			s.Latch(at(9600), at(13_000))
+		}, 9700, false},
+		{"renewed after an intent", func(s *State) {
+			intent(s, 1000)
+			swap := s.tick(2000)[0].(Swap)
+			s.OnSwapped(at(2010), 0, event.SlotSwapped{Slot: testSlot, Record: swap.Record, Version: 2})
+			s.Latch(at(7900), at(10_000))
+		}, 8500, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := owner(c)
+			test.do(s)
+			_, ok := s.Owns(at(test.at), testSlot)
+			c.Assert(ok, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestRenewalIsReadBack guards against a lease that is lost, or counted from a
+// wrong time, because the answer to a renewal did not arrive.
+func TestRenewalIsReadBack(t *testing.T) {
+	c := qt.New(t)
+	s := owner(c)
+	first := s.tick(2000)[0].(Swap)
+	s.OnSwapped(at(3000), 0, event.SlotSwapped{Slot: testSlot, Record: first.Record, Error: event.StoreUnavailable})
+	relayed := s.tick(3000)[0].(Send).Message.(message.RenewRelay)
+	c.Assert(relayed.Record, qt.Equals, first.Record)
+	again := s.tick(3500)[0].(Swap)
+	c.Assert(again, qt.Equals, first)
+	s.OnSwapped(at(3510), 0, event.SlotSwapped{Slot: testSlot, Record: first.Record, Error: event.StoreConflict})
+	c.Assert(s.Take(), qt.DeepEquals, []Result{Read{testSlot}})
+	s.OnRead(at(3520), 0, Fleet{}, event.SlotRead{Slot: testSlot, Record: first.Record, Version: 2})
+	c.Assert(s.Held()[0].Until, qt.Equals, at(8000))
+}
+
+// TestClaim guards against a claim that does not wait for acknowledgements of
+// most hosts and for the owner's lease, and one that a living owner does not
+// stop.
+func TestClaim(t *testing.T) {
+	lost := model.SlotRecord{Owner: model.HostRef{ID: "h9", Incarnation: 1}, Term: 3, Renewal: 8}
+	renewed := lost
+	renewed.Renewal++
+	read := func(r model.SlotRecord, version uint64) event.SlotRead {
+		return event.SlotRead{Slot: testSlot, Record: r, Version: version}
+	}
+	tests := []struct {
+		name   string
+		acks   int
+		reread event.SlotRead
+		want   []Result
+	}{
+		{"no acknowledgement", 0, event.SlotRead{}, nil},
+		{"owner is alive", 1, read(renewed, 9), nil},
+		{"owner is lost", 1, read(lost, 8), []Result{Swap{
+			testSlot, 8, model.SlotRecord{Owner: self, Term: 4, Renewal: 9},
+		}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newState()
+			c.Assert(s.tick(4000), qt.DeepEquals, []Result{Read{testSlot}})
+			s.OnRead(at(4000), 0, fleetOf(0), read(lost, 8))
+			intents := s.Take()
+			c.Assert(intents, qt.HasLen, 2)
+			intent := intents[0].(Send).Message.(message.ClaimIntent)
+			for range test.acks {
+				s.OnMessage(at(4010), 0, fleetOf(0), peer, message.ClaimIntentAck(intent))
+			}
+			s.tick(13_000)
+			c.Assert(s.slots[testSlot].claim.phase < phaseReread, qt.IsTrue)
+			s.tick(13_010)
+			s.OnRead(at(13_020), 0, fleetOf(0), test.reread)
+			s.Take()
+			var swaps []Result
+			if v := s.slots[testSlot]; v.claim != nil && v.claim.phase == phaseSwap {
+				swaps = append(swaps, Swap{testSlot, v.claim.version, v.claim.record})
+			}
+			c.Assert(swaps, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestRanking guards against one host that takes all slots of its domain.
+func TestRanking(t *testing.T) {
+	c := qt.New(t)
+	f := Fleet{}
+	for _, id := range []model.HostID{"a", "b", "c"} {
+		f.Members = append(f.Members, Member{
+			Ref: model.HostRef{ID: id, Incarnation: 1}, Domain: "d0", Live: true, Heard: true, Staying: true,
+		})
+	}
+	var slots []model.SlotID
+	for i := range 6 {
+		slots = append(slots, model.SlotID{Domain: "d0", Index: i})
+	}
+	taken := make(map[model.SlotID]model.HostID)
+	for _, m := range f.Members {
+		s := New(m.Ref, 0)
+		s.SetSlots(0, slots)
+		mine := s.planned(0, f)
+		c.Assert(mine, qt.HasLen, 2)
+		for _, v := range mine {
+			c.Assert(taken[v.id], qt.Equals, model.HostID(""))
+			taken[v.id] = m.Ref.ID
+		}
+	}
+}
