--- /dev/null
+++ b/decision/limits_bench_test.go
@@ -0,0 +1,151 @@
+package decision_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"pollensail.dev/decision"
+	"pollensail.dev/decision/admission"
+	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/fleettest"
+	"pollensail.dev/decision/message"
+	"pollensail.dev/decision/model"
+)
+
+// BenchmarkRequest measures all events of a request, from arrival to the
+// record, at a host that owns every slot.
+func BenchmarkRequest(b *testing.B) {
+	accounts := []configuration.Account{{ID: "a", Rate: 1e9, Burst: 1 << 30}}
+	f := fleettest.New(fleettest.Options{
+		Hosts: entryHosts(1, 1), Snapshot: limitsSnapshot(1, 1, accounts), Configure: decision.SetSnapshot,
+	})
+	f.Run(5 * time.Second)
+	h := f.Hosts["h0"]
+	now := h.Now()
+	b.ReportAllocs()
+	for i := range b.N {
+		id := model.RequestID(i + 1)
+		arrived := lookup(0)
+		arrived.Request = id
+		effects := decision.Reduce(h.State, event.Event{At: now, Body: arrived})
+		isForwarded := false
+		for _, e := range effects {
+			if _, ok := e.(effect.Forward); ok {
+				isForwarded = true
+			}
+		}
+		if !isForwarded {
+			b.Fatalf("request %d was not forwarded", i)
+		}
+		ended := event.AttemptEnded{Request: id, Result: model.AttemptResult{Verdict: model.Ran, Status: 200}}
+		decision.Reduce(h.State, event.Event{At: now, Body: ended})
+		decision.Reduce(h.State, event.Event{At: now, Body: event.AnswerSent{Request: id, Complete: true}})
+	}
+}
+
+// BenchmarkOwnerMemory measures the bytes that an owner keeps for an account
+// with one outstanding grant.
+func BenchmarkOwnerMemory(b *testing.B) {
+	slot := model.SlotID{Domain: "d0"}
+	owner := admission.NewOwner()
+	owner.Begin(0, slot, 1, true)
+	limit := admission.Limit{Rate: 10, Burst: 10}
+	accounts := accountIDs(b.N)
+	before := heapBytes()
+	for _, account := range accounts {
+		owner.Answer(0, message.TokenAsk{Slot: slot, Account: account, Tokens: 1}, limit)
+	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(b.N), "B/account")
+	runtime.KeepAlive(owner)
+	runtime.KeepAlive(accounts)
+}
+
+// BenchmarkHolderMemory measures the bytes that a host keeps for an account
+// with one grant and four sources.
+func BenchmarkHolderMemory(b *testing.B) {
+	var sources []admission.Source
+	for d := range 4 {
+		slot := model.SlotID{Domain: model.DomainID(fmt.Sprintf("d%d", d))}
+		sources = append(sources, admission.Source{Slot: slot, Limit: admission.Limit{Rate: 10, Burst: 10}})
+	}
+	holder := admission.NewHolder(func(model.AccountID) []admission.Source { return sources })
+	accounts := accountIDs(b.N)
+	before := heapBytes()
+	for i, account := range accounts {
+		holder.Wait(0, account, model.RequestID(i))
+		for r, ok := holder.Next(); ok; r, ok = holder.Next() {
+			if ask, isAsk := r.(admission.Ask); isAsk {
+				m := ask.Message
+				holder.Granted(0, message.TokenGrant{
+					Ask: m.Ask, Slot: m.Slot, Account: m.Account, Grant: uint64(i + 1), Tokens: 1,
+				})
+			}
+		}
+	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(b.N), "B/account")
+	runtime.KeepAlive(holder)
+	runtime.KeepAlive(accounts)
+}
+
+func accountIDs(n int) []model.AccountID {
+	ids := make([]model.AccountID, n)
+	for i := range ids {
+		ids[i] = model.AccountID(fmt.Sprintf("partner/institute-%06d", i))
+	}
+	return ids
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkHeartbeat reports the gob bytes of a heartbeat that asks and of its
+// answer on a stream that has carried the types before, with 40 and 650 hosts.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, hosts := range []int{40, 650} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			accounts := []configuration.Account{{ID: "a", Rate: 1, Burst: 1}}
+			var asked, answer message.Heartbeat
+			f := fleettest.New(fleettest.Options{
+				Hosts: entryHosts(hosts, 4), Snapshot: limitsSnapshot(1, 4, accounts),
+				Configure: decision.SetSnapshot, Line: regionLine,
+				Intercept: func(h *fleettest.Host, e effect.Effect) bool {
+					if send, ok := e.(effect.Send); ok {
+						if m, ok := send.Message.(message.Heartbeat); ok && m.Echo != 0 {
+							answer = m
+						} else if ok && m.Sequence != 0 {
+							asked = m
+						}
+					}
+					return false
+				},
+			})
+			f.Run(6 * time.Second)
+			b.ReportMetric(gobBytes(b, asked), "B/ask")
+			b.ReportMetric(gobBytes(b, answer), "B/answer")
+			b.ReportMetric(float64(len(answer.Hosts)), "ages/answer")
+			b.ReportMetric(float64(len(answer.Slots)), "slots/answer")
+		})
+	}
+}
+
+func gobBytes(b *testing.B, m message.Heartbeat) float64 {
+	var buffer bytes.Buffer
+	encoder := gob.NewEncoder(&buffer)
+	for range 2 {
+		buffer.Reset()
+		if err := encoder.Encode(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return float64(buffer.Len())
+}
