--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -99,12 +99,15 @@
 	s.emit(effect.ReadSlot{Slot: model.SlotID{Domain: s.domain}})
 }
 
+// noticeAuthority reports a change of authority. An isolated host is not ready.
 func (s *State) noticeAuthority() {
 	authority := s.limits.members.Authority(s.now).Authority
-	if authority != s.limits.authority {
-		s.limits.authority = authority
-		s.notice(effect.NoticeAuthority, authority.String())
+	if authority == s.limits.authority {
+		return
 	}
+	s.limits.authority = authority
+	s.notice(effect.NoticeAuthority, authority.String())
+	s.setReady(authority != membership.Isolated && s.snapshot != nil && !s.stopping)
 }
 
 // fleet returns what slots need to know of the other hosts.
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -44,6 +44,9 @@
 	case event.SlotSwapped:
 		s.onSlotSwapped(b)
 	case event.RootRead:
+		if b.Error != event.StoreUnavailable {
+			s.storeReached()
+		}
 		s.onRootRead(b)
 	case event.ShardsRead:
 		s.onShardsRead(b)
