--- a/decision/limits_property_test.go
+++ b/decision/limits_property_test.go
@@ -88,9 +88,7 @@
 
 func (d *faults) cut() {
 	from, to := d.pick("from"), d.pick("to")
-	direction := fleettest.Direction{From: from.Ref.ID, To: to.Ref.ID}
-	d.fleet.Cut[direction] = true
-	d.fleet.After(d.wait("cut"), func() { delete(d.fleet.Cut, direction) })
+	d.cutLines([]fleettest.Direction{{From: from.Ref.ID, To: to.Ref.ID}})
 }
 
 // cutOff cuts a host off from all others, in one direction or both.
@@ -104,10 +102,15 @@
 			cut = append(cut, fleettest.Direction{From: id, To: h.Ref.ID})
 		}
 	}
+	d.cutLines(cut)
+}
+
+// cutLines cuts lines for a time.
+func (d *faults) cutLines(cut []fleettest.Direction) {
 	for _, direction := range cut {
 		d.fleet.Cut[direction] = true
 	}
-	d.fleet.After(d.wait("cut off"), func() {
+	d.fleet.After(d.wait("cut for"), func() {
 		for _, direction := range cut {
 			delete(d.fleet.Cut, direction)
 		}
@@ -125,19 +128,19 @@
 	d.fleet.After(d.wait("unreachable"), func() { delete(d.fleet.Store.Unreachable, h.Ref.ID) })
 }
 
-// storeReachedByOne leaves the store to one host, which is cut off from some
-// other in one direction.
+// storeReachedByOne leaves the store to one host, with bad lines between it and
+// some other.
 func (d *faults) storeReachedByOne() {
 	one, other := d.pick("one"), d.pick("other")
-	direction := fleettest.Direction{From: other.Ref.ID, To: one.Ref.ID}
-	d.fleet.Cut[direction] = true
+	cut := []fleettest.Direction{
+		{From: one.Ref.ID, To: other.Ref.ID},
+		{From: other.Ref.ID, To: one.Ref.ID},
+	}
+	d.cutLines(cut[rapid.IntRange(0, 1).Draw(d.T, "cut"):])
 	for id := range d.fleet.Hosts {
 		d.fleet.Store.Unreachable[id] = id != one.Ref.ID
 	}
-	d.fleet.After(d.wait("reached by one"), func() {
-		clear(d.fleet.Store.Unreachable)
-		delete(d.fleet.Cut, direction)
-	})
+	d.fleet.After(d.wait("reached by one"), func() { clear(d.fleet.Store.Unreachable) })
 }
 
 func (d *faults) loseAnswers() {
