--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -18,3 +18,9 @@
 func AuthorityOf(s *State, now model.Instant) string {
 	return s.limits.members.Authority(now).Authority.String()
 }
+
+// CompleteSince returns the owned slot's value of that name.
+func CompleteSince(s *State, id model.SlotID) model.WallTime {
+	owned, _ := s.slotOwned(id)
+	return owned.CompleteSince
+}
--- a/decision/limits_scenarios_test.go
+++ b/decision/limits_scenarios_test.go
@@ -83,6 +83,25 @@
 	c.Assert(record.Continuous, qt.IsFalse)
 }
 
+// TestIncompleteTermIsHandedOver guards against a successor that takes the
+// state of an incomplete term for a complete one.
+func TestIncompleteTermIsHandedOver(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(7, 6)
+	first := ownerOf(f, firstSlot)
+	c.Assert(decision.CompleteSince(first.State, firstSlot), qt.Equals, model.WallTime(0))
+	first.Kill()
+	f.Run(20 * time.Second)
+	second := ownerOf(f, firstSlot)
+	since := decision.CompleteSince(second.State, firstSlot)
+	c.Assert(since > 0, qt.IsTrue)
+	second.Stop()
+	f.Run(10 * time.Second)
+	third := ownerOf(f, firstSlot)
+	c.Assert(third != second, qt.IsTrue)
+	c.Assert(decision.CompleteSince(third.State, firstSlot), qt.Equals, since)
+}
+
 // TestFleetRestart guards against records of earlier lives that keep a slot
 // without an owner, and against slots that all end at one host.
 func TestFleetRestart(t *testing.T) {
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -240,8 +240,12 @@
 	// ZeroAge is the time since buckets that are not listed were empty;
 	// negative when they were full from the start.
 	ZeroAge time.Duration
-	Buckets []BucketState
-	Claims  []ClaimState
+	// CompleteSince is when the sender's knowledge of idempotency keys began,
+	// on the wall clock of the host that then owned the slot; 0 when it is
+	// complete.
+	CompleteSince model.WallTime
+	Buckets       []BucketState
+	Claims        []ClaimState
 }
 
 // BucketState is one client account's token bucket.
--- a/decision/slot/handover.go
+++ b/decision/slot/handover.go
@@ -106,6 +106,7 @@
 	h := &handover{successor: to, tried: tried, began: now}
 	h.offer = message.HandoverOffer{
 		Slot: v.id, Offer: s.nextSerial(), Record: record, Version: v.lease.version,
+		CompleteSince: v.lease.owned.CompleteSince,
 	}
 	v.handover = h
 	fill(&h.offer)
@@ -260,6 +261,7 @@
 func (s *State) succeed(now model.Instant, wall model.WallTime, v *slot, l *lease) {
 	in := v.incoming
 	v.incoming = nil
+	l.owned.CompleteSince = in.offer.CompleteSince
 	s.acquire(now, wall, v, l)
 	s.emit(Acquired{
 		Slot: v.id, Term: l.record.Term, Continuous: true, Offer: &in.offer, OfferedAt: in.at,
--- a/decision/slot/slot.go
+++ b/decision/slot/slot.go
@@ -145,6 +145,11 @@
 	// Began and BeganWall are when this host's term began.
 	Began     model.Instant
 	BeganWall model.WallTime
+	// CompleteSince is when the last term began whose owner did not get the
+	// state of the one before, on that owner's wall clock; 0 where no owner was
+	// ever lost. Handovers since then have passed everything on, so what
+	// happened later is known here, and what happened earlier may not be.
+	CompleteSince model.WallTime
 }
 
 // Owns returns the term of a slot that this host owns at the given instant,
@@ -250,10 +255,14 @@
 
 func (s *State) acquire(now model.Instant, wall model.WallTime, v *slot, l *lease) {
 	l.owned = Owned{
-		Term:       l.record.Term,
-		Continuous: l.record.Continuous,
-		Began:      now,
-		BeganWall:  wall,
+		Term:          l.record.Term,
+		Continuous:    l.record.Continuous,
+		Began:         now,
+		BeganWall:     wall,
+		CompleteSince: l.owned.CompleteSince,
+	}
+	if !l.record.Continuous {
+		l.owned.CompleteSince = wall
 	}
 	v.lease, v.claim, v.handover = l, nil, nil
 	v.owner, v.term, v.heardAt = s.self, l.record.Term, now
