--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -13,3 +13,14 @@
 	_, ok := s.limits.slots.Owns(now, id)
 	return ok
 }
+
+// AuthorityOf returns the name of the host's authority at the given instant.
+func AuthorityOf(s *State, now model.Instant) string {
+	return s.limits.members.Authority(now).Authority.String()
+}
+
+// CompleteSince returns the owned slot's value of that name.
+func CompleteSince(s *State, id model.SlotID) model.WallTime {
+	owned, _ := s.slotOwned(id)
+	return owned.CompleteSince
+}
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -245,11 +245,12 @@
 	// ZeroAge is the time since buckets that are not listed were empty;
 	// negative when they were full from the start.
 	ZeroAge time.Duration
-	Buckets []BucketState
-	Claims  []ClaimState
-	// ClaimsSince is the wall clock at the start of the term from which on
-	// Claims are complete; 0 when nothing was ever lost.
-	ClaimsSince model.WallTime
+	// CompleteSince is when the sender's knowledge of idempotency keys began,
+	// on the wall clock of the host that then owned the slot; 0 when it is
+	// complete.
+	CompleteSince model.WallTime
+	Buckets       []BucketState
+	Claims        []ClaimState
 }
 
 // BucketState is one client account's token bucket.
