--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -239,6 +239,10 @@
 	}{
 		{"not tried", func(*Pool) {}, ids[:2], ids[2:]},
 		{"tried when it is the only one", func(*Pool) {}, ids, ids},
+		{"not the most loaded", func(p *Pool) {
+			p.Report(0, ids[0], 4, 6)
+			p.Report(0, ids[1], 2, 6)
+		}, nil, ids[1:]},
 		{"not avoided", func(p *Pool) { p.Avoid(ids[0], model.Never) }, nil, ids[1:]},
 		{"avoided when the others are busy", func(p *Pool) {
 			p.Avoid(ids[0], model.Never)
