--- a/decision/config.go
+++ b/decision/config.go
@@ -1,32 +1,217 @@
 package decision
 
 import (
+	"fmt"
+	"strings"
+	"time"
+
 	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
-	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
 )
 
+// configTick is how often lost questions about the configuration are repeated
+// and the ownership of the watch is looked at.
+const configTick = 500 * time.Millisecond
+
+// offerFanout is how many random peers a host tells of a new version. Hosts
+// that none of them reaches learn it from heartbeats.
+const offerFanout = 3
+
+// storePatience is how many ticks a host that heard of a newer version waits
+// for peers before it reads the root from the store, so that a change does not
+// make every host read at once.
+const storePatience = 4
+
+// ownerlessReads is how often in a second the whole fleet reads the root while
+// no owner of the watch is known, as at the start of a fleet or with domains in
+// the tree that no host has. ownerlessPause is the shortest pause of one host.
+const (
+	ownerlessReads = 10
+	ownerlessPause = time.Second
+)
+
 // configState is how the host follows the configuration.
 type configState struct {
-	root   configuration.Root
-	shards map[string]configuration.Shard // by hash
+	root    configuration.Root             // in force; version 0: none
+	encoded map[string]configuration.Shard // of root and target by hash, without Branches
+	target  configTarget
+	// seen is the newest version that this host has heard of. No older one is
+	// put in force.
+	seen uint64
+	// behind counts the ticks since a version was heard of that is not on its
+	// way.
+	behind int
+	// rejected is the newest version that did not validate.
+	rejected uint64
+	peers    []model.HostID          // the other listed entry hosts
+	told     map[model.HostID]uint64 // versions that peers told, until one is in force
+	asked    int                     // index in peers of the last one asked for its version
+
+	storeVersion uint64        // of the last root that the store answered
+	nextRead     model.Instant // when to read while no owner is known
+	isReading    bool          // a read of the root waits for its answer
+	isWatching   bool          // a watch of the root waits for its answer
+	storeDown    bool          // the last call for the root failed
 }
 
 func newConfigState() configState {
-	return configState{shards: make(map[string]configuration.Shard)}
+	return configState{
+		encoded: make(map[string]configuration.Shard),
+		told:    make(map[model.HostID]uint64),
+	}
+}
+
+func (s *State) startConfig() {
+	s.readRoot()
+	s.setConfigTimer()
+}
+
+// ownsSlot0 reports whether this host owns slot 0 of its own failure domain.
+// The owner watches the root in the store.
+func (s *State) ownsSlot0() bool {
+	_, ok := s.slotOwned(model.SlotID{Domain: s.domain})
+	return ok
+}
+
+func (s *State) readRoot() {
+	if s.config.isReading {
+		return
+	}
+	s.config.isReading = true
+	s.emit(effect.ReadRoot{})
+}
+
+func (s *State) watchRoot() {
+	if s.config.isWatching {
+		return
+	}
+	s.config.isWatching = true
+	s.emit(effect.WatchRoot{After: s.config.storeVersion})
+}
+
+// onRootRead takes the answer of a read or a watch; which one it is does not
+// matter, because a new watch replaces the one before.
+func (s *State) onRootRead(e event.RootRead) {
+	c := &s.config
+	c.isReading = false
+	c.isWatching = false
+	c.storeDown = e.Error != event.StoreOK
+	if c.storeDown {
+		s.askVersions()
+		return
+	}
+	c.storeVersion = max(c.storeVersion, e.StoreVersion)
+	if e.Root.Version > 0 {
+		s.considerRoot(e.Root, "")
+	}
+	if s.ownsSlot0() {
+		s.watchRoot()
+	}
 }
 
-func (s *State) startConfig() { s.emit(effect.ReadRoot{}) }
+func (s *State) setConfigTimer() {
+	s.timers.Set(timerKey{kind: timerConfig}, s.now.Add(configTick))
+}
 
-func (s *State) onRootRead(e event.RootRead)     {}
-func (s *State) onShardsRead(e event.ShardsRead) {}
-func (s *State) onConfigTimer(id uint64)         {}
+func (s *State) onConfigTimer(uint64) {
+	s.setConfigTimer()
+	s.followStore()
+	s.followPeers()
+	s.retryShards()
+}
 
-func (s *State) onConfigOffer(from model.HostRef, m message.ConfigOffer) {}
-func (s *State) onShardAsk(from model.HostRef, m message.ShardAsk)       {}
-func (s *State) onShards(from model.HostRef, m message.Shards)           {}
+// followStore keeps the watch going and repeats a read that failed.
+func (s *State) followStore() {
+	c := &s.config
+	c.behind++
+	if c.seen <= c.newest() {
+		c.behind = 0
+	}
+	switch {
+	case s.ownsSlot0():
+		s.watchRoot()
+	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead():
+		s.readRoot()
+	}
+}
+
+// isOwnerlessRead reports whether it is this host's turn to read the root in
+// place of an owner of the watch.
+func (s *State) isOwnerlessRead() bool {
+	c := &s.config
+	_, isKnown := s.slotOwner(model.SlotID{Domain: s.domain})
+	if isKnown || s.now < c.nextRead {
+		return false
+	}
+	mean := time.Second * time.Duration(len(c.peers)+1) / ownerlessReads
+	pause := max(ownerlessPause, time.Duration(s.rand.Int64N(int64(2*mean))))
+	c.nextRead = s.now.Add(pause)
+	return true
+}
+
+// newest returns the newest version that is in force, on its way or rejected.
+func (c *configState) newest() uint64 {
+	return max(c.root.Version, c.target.root.Version, c.rejected)
+}
+
+// considerRoot makes a root the target if it is newer than what the host has.
+// from is the peer that offered it, empty for the store.
+func (s *State) considerRoot(root configuration.Root, from model.HostID) {
+	c := &s.config
+	c.seen = max(c.seen, root.Version)
+	if root.Version == c.seen && root.Version > c.newest() {
+		s.startTarget(root, from)
+		return
+	}
+	if from == "" && root.Version == c.target.root.Version {
+		c.target.from = "" // the store confirms what a peer offered
+		s.completeTarget()
+	}
+}
 
-// configHeard is called with the version that a peer's heartbeat names.
-func (s *State) configHeard(from model.HostRef, version uint64) {}
+// mayTrustTarget reports whether the target is known to be the newest version.
+// The store's always is. A host without a configuration that has only peers to
+// ask waits for most of them, because a single one may lag behind.
+func (s *State) mayTrustTarget() bool {
+	c := &s.config
+	if c.target.root.Version < c.seen {
+		return false
+	}
+	return c.target.from == "" || c.root.Version > 0 || 2*len(c.told) > len(c.peers)
+}
+
+func (s *State) putInForce(root configuration.Root, snapshot *configuration.Snapshot) {
+	c := &s.config
+	c.root = root
+	c.dropShards()
+	clear(c.told)
+	s.snapshot = snapshot
+	s.notice(effect.NoticeVersion, fmt.Sprintf("version %d", root.Version))
+	s.offerVersion()
+	s.serversConfigured()
+	s.becomeReady()
+}
+
+func (s *State) becomeReady() {
+	if s.ready || s.stopping {
+		return
+	}
+	s.setReady(true)
+	s.notice(effect.NoticeReady, "")
+}
+
+// maxNoticeLines bounds the problems that a notice repeats.
+const maxNoticeLines = 5
+
+// rejectTarget keeps the version in force, because the target does not
+// validate.
+func (s *State) rejectTarget(version uint64, problems configuration.Problems) {
+	c := &s.config
+	c.rejected = version
+	c.dropShards()
+	shown := problems[:min(len(problems), maxNoticeLines)].Error()
+	detail := strings.ReplaceAll(shown, "\n", "; ")
+	s.notice(effect.NoticeVersionRejected, fmt.Sprintf("version %d, %d problems: %s", version, len(problems), detail))
+}
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -48,7 +48,9 @@
 	case event.ShardsRead:
 		s.onShardsRead(b)
 	case event.StopRequested:
-		s.onStopRequested()
+		s.onStopRequested(b)
+	case event.TrafficClosed:
+		s.onTrafficClosed()
 	case event.StatusRequested:
 		s.emit(effect.ReportStatus{Query: b.Query, Status: s.status()})
 	}
@@ -96,6 +98,7 @@
 }
 
 func (s *State) onHostsListed(e event.HostsListed) {
+	s.configHostsListed(e.Entries)
 	s.limitsHostsListed(e.Entries)
 	s.serversHostsListed(e.Entries)
 }
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -234,18 +234,20 @@
 	ownsSlot(model.SlotID) (term uint64, ok bool)
 }
 
-// slotOwner returns the owner of a slot as this host knows it.
-func (s *State) slotOwner(slot model.SlotID) (model.HostRef, bool) {
+// coordinatorHost returns the host that coordinates the services of a slot.
+func (s *State) coordinatorHost(slot model.SlotID) (model.HostRef, bool) {
 	if s.servers.ownership != nil {
 		return s.servers.ownership.slotOwner(slot)
 	}
-	return s.self, len(s.servers.peers) == 0
+	return s.slotOwner(slot)
 }
 
-// ownsSlot reports whether this host owns the slot now, and for which term.
-func (s *State) ownsSlot(slot model.SlotID) (term uint64, ok bool) {
+// coordinatorTerm reports whether this host coordinates the services of a slot
+// now, and for which term.
+func (s *State) coordinatorTerm(slot model.SlotID) (term uint64, ok bool) {
 	if s.servers.ownership != nil {
 		return s.servers.ownership.ownsSlot(slot)
 	}
-	return firstTerm, len(s.servers.peers) == 0
+	owned, ok := s.slotOwned(slot)
+	return owned.Term, ok
 }
--- /dev/null
+++ b/host/cmd/pollenctl/store.go
@@ -0,0 +1,9 @@
+package main
+
+import (
+	"pollensail.dev/host/operate"
+	"pollensail.dev/host/store"
+)
+
+// openStore returns the adapter of the platform's store at an address.
+func openStore(address string) operate.Store { return store.NewHTTP(address) }
