--- a/host/peer/accept.go
+++ b/host/peer/accept.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/rpc"
 	"time"
@@ -76,8 +75,7 @@
 	p.counters.links.Add(1)
 	defer p.counters.links.Add(-1)
 	in := &incoming{peers: p, check: check}
-	err = in.serve(deadlineConn{conn})
-	if ctx.Err() == nil && !errors.Is(err, io.EOF) {
+	if err := in.serve(deadlineConn{conn}); err != nil && ctx.Err() == nil {
 		p.refuse(raw, err)
 	}
 }
@@ -100,7 +98,8 @@
 }
 
 // serve takes one call at a time, so that messages keep their order and a busy
-// reducer slows down the sender.
+// reducer slows down the sender. It returns nil when the connection ended, and
+// an error when it has to be dropped.
 func (in *incoming) serve(conn net.Conn) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, &Service{in}); err != nil {
@@ -108,10 +107,14 @@
 	}
 	c := newCodec(conn, in.peers.config.MaxMessage)
 	for {
-		if err := conn.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
-			return err
+		if conn.SetReadDeadline(time.Now().Add(in.patience())) != nil {
+			return nil
+		}
+		err := server.ServeRequest(serverCodec{c})
+		if c.ended != nil {
+			return nil
 		}
-		if err := server.ServeRequest(serverCodec{c}); err != nil {
+		if err != nil {
 			return err
 		}
 		if in.fault != nil {
@@ -120,6 +123,15 @@
 	}
 }
 
+// patience is the time for the next message. A link begins with a Hello at
+// once.
+func (in *incoming) patience() time.Duration {
+	if in.from.IsZero() {
+		return handshakeTimeout
+	}
+	return silenceTimeout
+}
+
 // Service holds the methods that peers call.
 type Service struct{ in *incoming }
 
--- a/host/peer/codec.go
+++ b/host/peer/codec.go
@@ -27,6 +27,7 @@
 	reader  *bufio.Reader
 	limit   int    // bytes of a received frame
 	written uint64 // bytes; for the goroutine that writes
+	ended   error  // of the connection, where it ended a read
 	out     bytes.Buffer
 	in      bytes.Buffer
 	encoder *gob.Encoder
@@ -85,6 +86,7 @@
 func (c *codec) read(header any) error {
 	var length [frameHeader]byte
 	if _, err := io.ReadFull(c.reader, length[:]); err != nil {
+		c.ended = err
 		return err
 	}
 	n := binary.BigEndian.Uint32(length[:])
@@ -97,6 +99,7 @@
 	}
 	// The buffer grows with what arrives, not with what the sender announced.
 	if _, err := io.CopyN(&c.in, c.reader, int64(n)); err != nil {
+		c.ended = err
 		return err
 	}
 	return c.decode(header)
--- a/host/peer/link.go
+++ b/host/peer/link.go
@@ -29,6 +29,7 @@
 	queue   chan *queued
 	ctx     context.Context
 	close   context.CancelFunc
+	down    bool // the last use failed; for the goroutine of run
 }
 
 // queued is a message and when it was handed over.
@@ -66,6 +67,7 @@
 		if errors.Is(err, errIdle) {
 			continue
 		}
+		l.down = l.down && !works
 		if works {
 			backoff = minBackoff
 		}
@@ -90,8 +92,11 @@
 	return s.works, err
 }
 
+// report logs the first failure in a row. At the target size a lost failure
+// domain is a hundred peers, each tried again every 2 s.
 func (l *link) report(err error) {
-	if l.ctx.Err() == nil {
+	if l.ctx.Err() == nil && !l.down {
+		l.down = true
 		l.peers.config.Log.Warn().Str("peer", string(l.to)).Str("address", l.address).Err(err).Msg("no link to peer")
 	}
 }
--- a/host/peer/peers_test.go
+++ b/host/peer/peers_test.go
@@ -212,16 +212,17 @@
 func TestGarbageDropsLink(t *testing.T) {
 	c := qt.New(t)
 	b := startHost(c, "b", Identity{})
-	for _, garbage := range []string{
+	garbage := []string{
 		"GET / HTTP/1.1\r\n\r\n",
 		"\xff\xff\xff\xff",
 		"\x00\x00\x00\x04abcd",
 		"\x00\x00\x00\x00",
-	} {
+	}
+	for _, text := range garbage {
 		refused := b.Counters().Refused
 		conn, err := net.Dial("tcp", b.address)
 		c.Assert(err, qt.IsNil)
-		_, err = conn.Write([]byte(garbage))
+		_, err = conn.Write([]byte(text))
 		c.Assert(err, qt.IsNil)
 		eventually(c, "garbage refused", func() bool { return b.Counters().Refused == refused+1 })
 		conn.Close()
@@ -230,6 +231,11 @@
 	a.SetHosts([]model.HostEntry{entry("b", b.address)})
 	send(a, "b", 3)
 	c.Assert(b.inbox.next(c).Message, qt.Equals, message.ClaimIntent{Intent: 3})
+
+	// A peer that is gone is not a broken one.
+	a.SetHosts(nil)
+	eventually(c, "link ended", func() bool { return b.Counters().Links == 0 })
+	c.Assert(b.Counters().Refused, qt.Equals, uint64(len(garbage)))
 }
 
 // TestReconnects guards against a link that stays down after its peer came
--- a/host/store/caller.go
+++ b/host/store/caller.go
@@ -124,8 +124,6 @@
 }
 
 func (c *Caller) readShards(f effect.ReadShards) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
-	defer cancel()
 	shards := make([]configuration.Shard, len(f.Hashes))
 	errs := make([]error, len(f.Hashes))
 	var wait sync.WaitGroup
@@ -133,7 +131,7 @@
 	for i, hash := range f.Hashes {
 		slots <- struct{}{}
 		wait.Go(func() {
-			shards[i], errs[i] = c.records.Shard(ctx, hash)
+			shards[i], errs[i] = c.readShard(hash)
 			<-slots
 		})
 	}
@@ -152,6 +150,14 @@
 	c.postShards(shards, errs)
 }
 
+// readShard has the time of a call for itself, so that a slow store still
+// gives a large tree.
+func (c *Caller) readShard(hash string) (configuration.Shard, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
+	defer cancel()
+	return c.records.Shard(ctx, hash)
+}
+
 func (c *Caller) postShards(shards []configuration.Shard, errs []error) {
 	answer := event.ShardsRead{}
 	for i, err := range errs {
