--- a/host/frontend/callerconn.go
+++ b/host/frontend/callerconn.go
@@ -121,5 +121,6 @@
 	if !ok {
 		return
 	}
-	caller.delivery = &delivery{exchange: x, missing: size, source: source}
+	x.delivery = delivery{exchange: x, missing: size, source: source}
+	caller.delivery = &x.delivery
 }
--- a/host/frontend/doc.go
+++ b/host/frontend/doc.go
@@ -5,5 +5,8 @@
 //
 // Limits: HTTP/1.1 without TLS; request bodies are held in memory up to a
 // limit. A request whose path or body contains its own key is refused, because
-// it cannot be passed on without showing the key to a backend server.
+// it cannot be passed on without showing the key to a backend server. A key in
+// the body is found only where it is plain or percent-encoded. A request that
+// a caller sends on an idle connection while Shutdown closes it is lost
+// unread, as HTTP/1.1 has no way to refuse it.
 package frontend
--- a/host/frontend/exchange.go
+++ b/host/frontend/exchange.go
@@ -23,6 +23,7 @@
 	forward  *fasthttp.Request // what servers get
 	verdict  model.Verdict     // of all attempts so far
 	answer   *backend.Answer   // of the last attempt, nil without
+	delivery delivery          // of the answer to the caller
 }
 
 // Apply implements control.Traffic. It hands the effect to the goroutine of
--- a/host/frontend/forward.go
+++ b/host/frontend/forward.go
@@ -44,6 +44,9 @@
 // key.
 func forwardTarget(t target, hidden secret) []byte {
 	query := hidden.stripParts(t.query, '&')
+	if len(query) == len(t.query) {
+		return t.raw
+	}
 	if len(query) == 0 {
 		return t.path
 	}
--- a/host/frontend/target.go
+++ b/host/frontend/target.go
@@ -7,6 +7,7 @@
 
 // target is a request's target in origin form.
 type target struct {
+	raw     []byte // all of it, as it was received
 	path    []byte // as it was received
 	query   []byte // as it was received, without the question mark
 	decoded string // the path that routes are matched with
@@ -29,7 +30,7 @@
 	if !ok {
 		return target{}, malformed("the path has more than one reading")
 	}
-	return target{path, query, decoded}, nil
+	return target{raw, path, query, decoded}, nil
 }
 
 // decodePath decodes a path. It reports false where two readers could
