--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 demo: build build-standin
 	demo/run
+
+measure:
+	go run ./standin/cmd/measure --out out
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -87,6 +87,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	p.connect(ctx, group)
 	p.logStart()
+	closeCallers := context.AfterFunc(ctx, func() { p.listeners.caller.Close() })
+	defer closeCallers()
 	group.Go(func() error { return p.serveCallers() })
 	group.Go(func() error { return p.observer.Serve(ctx, p.listeners.operator, p.loop) })
 	group.Go(func() error { return p.awaitStop(ctx, stop) })
@@ -110,12 +112,13 @@
 		Identity:    p.identity,
 		MaxMessage:  int(p.settings.Limits.PeerMessage),
 		DialTimeout: time.Duration(p.settings.Limits.DialTimeout),
+		Source:      p.listeners.peer.Addr().(*net.TCPAddr).IP,
 		Loop:        p.loop,
 		Log:         logger,
 	})
 	platform := store.NewHTTP(string(p.settings.Store.Address))
 	timeout := time.Duration(p.settings.Store.Timeout)
-	p.observer = telemetry.New(logger, peerSources(peers)...)
+	p.observer = telemetry.New(logger, peers.Sources()...)
 	p.loop.Connect(control.Adapters{
 		Traffic:  traffic{p.frontend, p.loop},
 		Peers:    peers,
@@ -129,18 +132,6 @@
 	group.Go(func() error { return hosts.Run(ctx) })
 }
 
-// peerSources are the counts of control traffic for /metrics.
-func peerSources(peers *peer.Peers) []telemetry.Source {
-	return []telemetry.Source{
-		{Name: "peer_sent_bytes", Help: "Bytes sent to other hosts.", Read: func() float64 {
-			return float64(peers.Counters().BytesSent)
-		}},
-		{Name: "peer_received_bytes", Help: "Bytes received from other hosts.", Read: func() float64 {
-			return float64(peers.Counters().BytesReceived)
-		}},
-	}
-}
-
 func (p *Process) logStart() {
 	p.logger.Info().
 		Str("host", p.self.String()).
