--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -3,6 +3,7 @@
 package effect
 
 import (
+	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
 )
@@ -77,6 +78,10 @@
 // ReadShards asks for event.ShardsRead.
 type ReadShards struct{ Hashes []string }
 
+// DecodeShards asks for event.ShardsRead with the decoded form of these
+// shards. It reaches no store.
+type DecodeShards struct{ Shards []configuration.Shard }
+
 // Record hands a finished request to logs and metrics.
 type Record struct{ Outcome model.Outcome }
 
@@ -102,6 +107,9 @@
 	NoticeLeaving        NoticeKind = "server_leaving"
 	NoticeVersion        NoticeKind = "configuration_in_force"
 	NoticeBadMessage     NoticeKind = "bad_peer_message"
+	// NoticeVersionRejected: a version in the store does not validate; the
+	// one before stays in force.
+	NoticeVersionRejected NoticeKind = "configuration_rejected"
 )
 
 // SetReady changes what /readyz answers.
@@ -147,6 +155,10 @@
 	Count   uint64
 }
 
+// CloseTraffic closes the callers' port: requests in flight are finished, no
+// new ones are taken. It answers with event.TrafficClosed.
+type CloseTraffic struct{}
+
 // Exit ends the process: the planned stop is complete.
 type Exit struct{}
 
@@ -161,8 +173,10 @@
 func (ReadRoot) effect()     {}
 func (WatchRoot) effect()    {}
 func (ReadShards) effect()   {}
+func (DecodeShards) effect() {}
 func (Record) effect()       {}
 func (Notice) effect()       {}
 func (SetReady) effect()     {}
 func (ReportStatus) effect() {}
+func (CloseTraffic) effect() {}
 func (Exit) effect()         {}
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -106,6 +106,7 @@
 	Key         string
 	Fingerprint model.Fingerprint
 	// Timeout is how long the sender waits for an earlier use to end.
+	// It bounds the sender's own use of the key, too.
 	Timeout time.Duration
 }
 
@@ -124,6 +125,8 @@
 	ClaimNotOwner
 	// ClaimDropped: ran, the answer is no longer retained.
 	ClaimDropped
+	// ClaimReleased: the earlier use ended unrun; claim again.
+	ClaimReleased
 )
 
 // ClaimAnswer answers Claim. ClaimInProgress is followed by a second answer
@@ -138,6 +141,7 @@
 // ClaimEnd tells the owner how the forwarded request ended. It is repeated
 // until acknowledged.
 type ClaimEnd struct {
+	Ask     uint64 // of the Claim that was granted
 	Slot    model.SlotID
 	Account model.AccountID
 	Key     string
@@ -147,9 +151,7 @@
 
 // ClaimEndAck acknowledges ClaimEnd.
 type ClaimEndAck struct {
-	Slot    model.SlotID
-	Account model.AccountID
-	Key     string
+	Ask uint64
 }
 
 // Evidence sums up what a host saw of a service's servers since its last
@@ -163,6 +165,7 @@
 	// PoolOK and PoolFailed count attempts at all servers of the service.
 	PoolOK     int
 	PoolFailed int
+	Period     time.Duration // that the counts cover
 }
 
 // ServerEvidence counts attempts at one server.
@@ -171,6 +174,8 @@
 	OK     int
 	Failed int
 	Slow   int // of OK, those far slower than the pool's median
+	// TimedOut counts those of Failed that ran into the caller's deadline.
+	TimedOut int
 }
 
 // EjectionSet is the whole set of servers of a service that get no ordinary
@@ -240,12 +245,11 @@
 	// ZeroAge is the time since buckets that are not listed were empty;
 	// negative when they were full from the start.
 	ZeroAge time.Duration
-	// CompleteSince is when the sender's knowledge of idempotency keys began,
-	// on the wall clock of the host that then owned the slot; 0 when it is
-	// complete.
-	CompleteSince model.WallTime
-	Buckets       []BucketState
-	Claims        []ClaimState
+	Buckets []BucketState
+	Claims  []ClaimState
+	// ClaimsSince is the wall clock at the start of the term from which on
+	// Claims are complete; 0 when nothing was ever lost.
+	ClaimsSince model.WallTime
 }
 
 // BucketState is one client account's token bucket.
@@ -270,6 +274,8 @@
 	Verdict     model.Verdict
 	InProgress  bool
 	Holder      model.HostRef
+	Ask         uint64        // of the holder's Claim
+	Expires     time.Duration // left until an unended use counts as unknown
 	Answer      *model.Answer
 }
 
--- a/host/control/loop.go
+++ b/host/control/loop.go
@@ -19,15 +19,15 @@
 const eventBacklog = 4096
 
 // Traffic carries out what concerns callers' requests: Forward, Deliver,
-// Refuse and Replay.
+// Refuse, Replay and CloseTraffic.
 type Traffic interface{ Apply(effect.Effect) }
 
 // Peers sends messages to other hosts. A message that cannot be sent at once
 // is dropped.
 type Peers interface{ Send(effect.Send) }
 
-// Store carries out ReadSlot, SwapSlot, ReadRoot, WatchRoot and ReadShards and
-// posts the answers.
+// Store carries out ReadSlot, SwapSlot, ReadRoot, WatchRoot, ReadShards and
+// DecodeShards and posts the answers.
 type Store interface{ Call(effect.Effect) }
 
 // Observer takes what operators see: Record, Notice, SetReady and
@@ -134,13 +134,13 @@
 // apply hands an effect to its adapter and reports whether it is Exit.
 func (l *Loop) apply(f effect.Effect) bool {
 	switch f := f.(type) {
-	case effect.Forward, effect.Deliver, effect.Refuse, effect.Replay:
+	case effect.Forward, effect.Deliver, effect.Refuse, effect.Replay, effect.CloseTraffic:
 		l.adapters.Traffic.Apply(f)
 	case effect.Send:
 		l.adapters.Peers.Send(f)
 	case effect.SetTimer:
 		l.timer.Reset(time.Until(l.Time(f.At)))
-	case effect.ReadSlot, effect.SwapSlot, effect.ReadRoot, effect.WatchRoot, effect.ReadShards:
+	case effect.ReadSlot, effect.SwapSlot, effect.ReadRoot, effect.WatchRoot, effect.ReadShards, effect.DecodeShards:
 		l.adapters.Store.Call(f)
 	case effect.Record, effect.Notice, effect.SetReady, effect.ReportStatus:
 		l.adapters.Observer.Observe(f)
