--- a/decision/admission/asks.go
+++ b/decision/admission/asks.go
@@ -63,7 +63,7 @@
 func (a *holding) giveUpAsks(now model.Instant) {
 	for i := range a.sources {
 		s := &a.sources[i]
-		if s.ask != 0 && now >= s.askedAt.Add(MaxWait) {
+		if s.ask != 0 && now >= s.askedAt.Add(askTimeout) {
 			s.ask = 0
 			s.awayUntil = now.Add(awayFor)
 		}
