Repeat unanswered token asks; the owner answers a repeat with the same grant

Cause: a lost ask or answer took the request's token for the 2 s of a grant's validity, and with it, for a burst below 4, every further grant of the share, because at most half a share is outstanding (trace of an account with burst 3: tokens_unavailable, then two over_rate).

--- a/decision/admission/asks.go
+++ b/decision/admission/asks.go
@@ -35,7 +35,7 @@
 // them, or several, each for a part, where more than one request waits for
 // owners in other failure domains.
 func (h *Holder) askFor(now model.Instant, a *holding) {
-	a.giveUpAsks(now)
+	h.repeatAsks(now, a)
 	wanted := a.wanted(now)
 	if wanted <= 0 {
 		return
@@ -59,11 +59,18 @@
 	}
 }
 
-// giveUpAsks leaves out owners that have not answered.
-func (a *holding) giveUpAsks(now model.Instant) {
+// repeatAsks sends asks without an answer again, because the ask, with its
+// settlements, or the answer may be lost, and leaves out owners that have not
+// answered for long. The owner answers a repeated ask with the same grant.
+func (h *Holder) repeatAsks(now model.Instant, a *holding) {
 	for i := range a.sources {
 		s := &a.sources[i]
-		if s.ask != 0 && now >= s.askedAt.Add(askTimeout) {
+		switch {
+		case s.ask == 0 || now < s.sentAt.Add(askTimeout):
+		case now < s.askedAt.Add(repeatFor):
+			s.sentAt = now
+			h.emit(Ask{s.last})
+		default:
 			s.ask = 0
 			s.awayUntil = now.Add(awayFor)
 		}
@@ -104,17 +111,18 @@
 
 func (h *Holder) ask(now model.Instant, a *holding, s *source, tokens int) {
 	h.lastAsk++
-	s.ask, s.askedAt, s.asked = h.lastAsk, now, tokens
+	s.ask, s.askedAt, s.sentAt, s.asked = h.lastAsk, now, now, tokens
 	h.asks[h.lastAsk] = &ask{account: a.account, slot: s.Slot, at: now}
 	h.askOrder = append(h.askOrder, h.lastAsk)
-	h.emit(Ask{message.TokenAsk{
+	s.last = message.TokenAsk{
 		Ask:     h.lastAsk,
 		Slot:    s.Slot,
 		Account: a.account,
 		Tokens:  tokens,
 		Ahead:   max(0, tokens-len(a.waiters)),
 		Settled: a.takeDone(now, s.Slot),
-	}})
+	}
+	h.emit(Ask{s.last})
 }
 
 func (h *Holder) forgetAsks(now model.Instant) {
--- a/decision/admission/bucket.go
+++ b/decision/admission/bucket.go
@@ -28,6 +28,13 @@
 	id      uint64
 	expires model.Instant
 	tokens  int32
+	asker   asker
+}
+
+// asker names the ask that a grant answers.
+type asker struct {
+	host model.HostRef
+	ask  uint64
 }
 
 // accrue brings the bucket up to now under the given limit. Grants that expire
@@ -69,7 +76,7 @@
 
 // grant takes the needed whole tokens, and of those asked for ahead a part of
 // what is left, so that no host keeps tokens that others need now.
-func (b *bucket) grant(id uint64, needed, ahead int, expires model.Instant, limit Limit) int {
+func (b *bucket) grant(id uint64, by asker, needed, ahead int, expires model.Instant, limit Limit) int {
 	whole := int(b.level + roundingSlack)
 	room := maxOutstanding(limit.Burst) - b.outstanding
 	tokens := max(0, min(needed, whole, room))
@@ -79,10 +86,19 @@
 	}
 	b.level -= float64(tokens)
 	b.outstanding += tokens
-	b.grants = append(b.grants, grant{id: id, expires: expires, tokens: int32(tokens)})
+	b.grants = append(b.grants, grant{id: id, expires: expires, tokens: int32(tokens), asker: by})
 	return tokens
 }
 
+// granted returns the outstanding grant that answers an ask.
+func (b *bucket) granted(by asker) (grant, bool) {
+	i := slices.IndexFunc(b.grants, func(g grant) bool { return g.asker == by })
+	if i < 0 {
+		return grant{}, false
+	}
+	return b.grants[i], true
+}
+
 // roundingSlack lets a level of a whole token count as one in spite of
 // rounding. The level may become negative by as much.
 const roundingSlack = 1e-9
--- a/decision/admission/holder.go
+++ b/decision/admission/holder.go
@@ -15,8 +15,10 @@
 	// than a refusal within the rate: near the bound the next token of a small
 	// account accrues within some 100 ms, or another host settles its grant.
 	MaxWait = 250 * time.Millisecond
-	// askTimeout is how long an owner may take to answer.
+	// askTimeout is how long an owner may take to answer before the ask is
+	// repeated, and repeatFor how long it is repeated.
 	askTimeout = 50 * time.Millisecond
+	repeatFor  = 200 * time.Millisecond
 	// maxWaiters bounds an account's requests that wait at a host, so that an
 	// account far over its rate costs little.
 	maxWaiters = 64
@@ -149,6 +151,8 @@
 	awayUntil  model.Instant
 	ask        uint64 // under way; 0: none
 	askedAt    model.Instant
+	sentAt     model.Instant // of the newest repetition
+	last       message.TokenAsk
 	asked      int
 }
 
@@ -469,7 +473,7 @@
 	case s.ask != 0 && now < s.askedAt.Add(hedgeAfter):
 		return s.askedAt.Add(hedgeAfter)
 	case s.ask != 0:
-		return s.askedAt.Add(askTimeout)
+		return s.sentAt.Add(askTimeout)
 	case len(a.waiters) > 0 && s.askableFrom() > now:
 		return s.askableFrom()
 	default:
--- a/decision/admission/owner.go
+++ b/decision/admission/owner.go
@@ -98,8 +98,9 @@
 }
 
 // Answer settles earlier grants of an account and grants tokens. The caller
-// has checked that this host owns the slot.
-func (o *Owner) Answer(now model.Instant, ask message.TokenAsk, limit Limit) message.TokenGrant {
+// has checked that this host owns the slot. An ask that is repeated gets the
+// grant that it got before, while that is outstanding.
+func (o *Owner) Answer(now model.Instant, from model.HostRef, ask message.TokenAsk, limit Limit) message.TokenGrant {
 	answer := message.TokenGrant{Ask: ask.Ask, Slot: ask.Slot, Account: ask.Account}
 	s, ok := o.slots[ask.Slot]
 	if !ok {
@@ -114,15 +115,25 @@
 	if ask.Tokens <= 0 {
 		return answer
 	}
+	by := asker{from, ask.Ask}
+	if known, ok := b.granted(by); ok {
+		answer.Tokens, answer.Grant = int(known.tokens), known.id
+	} else {
+		s.grant(now, b, by, ask, limit, &answer)
+	}
+	answer.Left = max(0, int(b.level))
+	answer.NextToken = b.next(limit)
+	return answer
+}
+
+// grant makes a new grant, if there are tokens.
+func (s *ownedSlot) grant(now model.Instant, b *bucket, by asker, ask message.TokenAsk, limit Limit, answer *message.TokenGrant) {
 	ahead := min(max(ask.Ahead, 0), ask.Tokens)
-	answer.Tokens = b.grant(s.grants+1, ask.Tokens-ahead, ahead, now.Add(Validity), limit)
+	answer.Tokens = b.grant(s.grants+1, by, ask.Tokens-ahead, ahead, now.Add(Validity), limit)
 	if answer.Tokens > 0 {
 		s.grants++
 		answer.Grant = s.grants
 	}
-	answer.Left = max(0, int(b.level))
-	answer.NextToken = b.next(limit)
-	return answer
 }
 
 // bucket returns the account's bucket. One that is not kept is as full as its
--- a/decision/admission/owner_test.go
+++ b/decision/admission/owner_test.go
@@ -61,8 +61,8 @@
 			o := NewOwner()
 			o.Begin(0, testSlot, 0, !test.empty)
 			for i, s := range test.steps {
-				answer := o.Answer(at(s.at), message.TokenAsk{
-					Slot: testSlot, Account: "a", Tokens: s.tokens, Settled: s.settled,
+				answer := o.Answer(at(s.at), testAsker, message.TokenAsk{
+					Ask: uint64(i + 1), Slot: testSlot, Account: "a", Tokens: s.tokens, Settled: s.settled,
 				}, testLimit)
 				c.Assert(answer.Tokens, qt.Equals, s.want, qt.Commentf("step %d", i))
 			}
@@ -70,13 +70,30 @@
 	}
 }
 
+var testAsker = model.HostRef{ID: "h1", Incarnation: 1}
+
+// TestRepeatedAsk guards against tokens that are lost with an answer: a
+// repeated ask gets the grant that was made for it, and none beside it.
+func TestRepeatedAsk(t *testing.T) {
+	c := qt.New(t)
+	o := NewOwner()
+	o.Begin(0, testSlot, 1, true)
+	ask := message.TokenAsk{Ask: 7, Slot: testSlot, Account: "a", Tokens: 3}
+	first := o.Answer(at(0), testAsker, ask, testLimit)
+	again := o.Answer(at(50), testAsker, ask, testLimit)
+	c.Assert(again.Grant, qt.Equals, first.Grant)
+	c.Assert(again.Tokens, qt.Equals, first.Tokens)
+	other := o.Answer(at(60), model.HostRef{ID: "h2"}, ask, testLimit)
+	c.Assert(other.Grant, qt.Not(qt.Equals), first.Grant)
+}
+
 // TestMissedAccrual guards against crediting twice the time in which spent
 // tokens were still counted, and against not crediting it at all.
 func TestMissedAccrual(t *testing.T) {
 	c := qt.New(t)
 	b := &bucket{level: 10, fullSince: notFull}
-	b.grant(1, 1, 0, at(2000), testLimit)
-	b.grant(2, 1, 0, at(2000), testLimit)
+	b.grant(1, asker{ask: 1}, 1, 0, at(2000), testLimit)
+	b.grant(2, asker{ask: 2}, 1, 0, at(2000), testLimit)
 	b.accrue(at(500), testLimit)
 	c.Assert(b.level, qt.Equals, 8.0)
 	b.settle(at(500), message.Settlement{Grant: 1, Spent: 1, Age: 60 * time.Millisecond}, testLimit)
@@ -104,17 +121,17 @@
 	before, after := NewOwner(), NewOwner()
 	before.Begin(at(0), testSlot, 1, true)
 	ask := message.TokenAsk{Slot: testSlot, Account: "a", Tokens: 5}
-	granted := before.Answer(at(100), ask, testLimit)
+	granted := before.Answer(at(100), testAsker, ask, testLimit)
 	var offer message.HandoverOffer
 	before.Freeze(at(200), testSlot, &offer, limitOf)
 	c.Assert(offer.ZeroAge < 0, qt.IsTrue)
 	// The clocks of the two hosts differ.
 	after.Restore(at(50_000), testSlot, 2, offer)
-	c.Assert(after.Answer(at(50_010), ask, testLimit).Tokens, qt.Equals, 0)
+	c.Assert(after.Answer(at(50_010), testAsker, ask, testLimit).Tokens, qt.Equals, 0)
 	ask.Settled = []message.Settlement{{Grant: granted.Grant, Spent: 5}}
-	c.Assert(after.Answer(at(50_020), ask, testLimit).Tokens, qt.Equals, 5)
+	c.Assert(after.Answer(at(50_020), testAsker, ask, testLimit).Tokens, qt.Equals, 5)
 	other := message.TokenAsk{Slot: testSlot, Account: "b", Tokens: 5}
-	c.Assert(after.Answer(at(50_020), other, testLimit).Tokens, qt.Equals, 5)
+	c.Assert(after.Answer(at(50_020), testAsker, other, testLimit).Tokens, qt.Equals, 5)
 }
 
 // TestSweep guards against memory that grows with every account ever seen,
@@ -123,7 +140,7 @@
 	c := qt.New(t)
 	o := NewOwner()
 	o.Begin(0, testSlot, 1, true)
-	o.Answer(0, message.TokenAsk{Slot: testSlot, Account: "a", Tokens: 5}, testLimit)
+	o.Answer(0, testAsker, message.TokenAsk{Slot: testSlot, Account: "a", Tokens: 5}, testLimit)
 	limitOf := func(model.AccountID) Limit { return testLimit }
 	o.Sweep(at(2100), testSlot, limitOf)
 	c.Assert(len(o.slots[testSlot].buckets), qt.Equals, 1)
--- a/decision/limits_bench_test.go
+++ b/decision/limits_bench_test.go
@@ -59,7 +59,7 @@
 	accounts := accountIDs(b.N)
 	before := heapBytes()
 	for _, account := range accounts {
-		owner.Answer(0, message.TokenAsk{Slot: slot, Account: account, Tokens: 1}, limit)
+		owner.Answer(0, model.HostRef{}, message.TokenAsk{Slot: slot, Account: account, Tokens: 1}, limit)
 	}
 	b.ReportMetric(float64(heapBytes()-before)/float64(b.N), "B/account")
 	runtime.KeepAlive(owner)
--- a/decision/limits_tokens.go
+++ b/decision/limits_tokens.go
@@ -144,7 +144,7 @@
 // is this host.
 func (s *State) passAsk(m message.TokenAsk) {
 	if _, ok := s.slotOwned(m.Slot); ok {
-		answer := s.limits.owner.Answer(s.now, m, s.shareOf(m.Slot)(m.Account))
+		answer := s.limits.owner.Answer(s.now, s.self, m, s.shareOf(m.Slot)(m.Account))
 		if m.Tokens > 0 {
 			s.limits.holder.Granted(s.now, answer)
 		}
@@ -162,7 +162,7 @@
 	s.limitsConfigured()
 	answer := message.TokenGrant{Ask: m.Ask, Slot: m.Slot, Account: m.Account, NotOwner: true}
 	if _, ok := s.slotOwned(m.Slot); ok {
-		answer = s.limits.owner.Answer(s.now, m, s.shareOf(m.Slot)(m.Account))
+		answer = s.limits.owner.Answer(s.now, from, m, s.shareOf(m.Slot)(m.Account))
 	}
 	if m.Tokens > 0 {
 		s.send(from.ID, answer)
