--- a/decision/health/decide.go
+++ b/decision/health/decide.go
@@ -87,7 +87,7 @@
 	}
 	for _, t := range trial {
 		others := bad - t.Bad[f]
-		if domains > 1 && (others == 0 || ratio(others, total-t.total()) < otherRatio) {
+		if domains > 1 && (others < trialElsewhere || ratio(others, total-t.total()) < otherRatio) {
 			return false
 		}
 	}
--- a/decision/health/judge.go
+++ b/decision/health/judge.go
@@ -23,7 +23,7 @@
 	ejection = rule{failures: 5, ratio: ejectRatio, surprise: 13}
 	// elsewhere is the rule for those that any single domain did not see.
 	// Failures on the path from one domain do not pass it.
-	elsewhere = rule{failures: 3, ratio: otherRatio, surprise: 6}
+	elsewhere = rule{failures: 3, ratio: otherRatio, surprise: 8}
 )
 
 const (
@@ -31,7 +31,7 @@
 	// of 20 requests a second shows less than a fifth over two seconds in one
 	// run of fifteen.
 	ejectRatio = 0.1
-	otherRatio = 0.05
+	otherRatio = 0.1
 	// restFactor is how many times the share of failures of the rest of the
 	// pool a server's share has to be.
 	restFactor = 3
--- a/decision/health/suspect.go
+++ b/decision/health/suspect.go
@@ -22,6 +22,9 @@
 	trialPasses = 20
 	// trialFailures is the number of bad attempts from which a trial may fail.
 	trialFailures = 3
+	// trialElsewhere is how many of these have to remain without any one
+	// domain. One may be an accident.
+	trialElsewhere = 2
 	// offenceMemory is how long a readmitted server's next ejection counts as
 	// a repetition.
 	offenceMemory = 2 * time.Minute
