--- a/decision/admission/holder.go
+++ b/decision/admission/holder.go
@@ -11,8 +11,15 @@
 )
 
 const (
-	// MaxWait is how long a request waits for tokens.
-	MaxWait = 50 * time.Millisecond
+	// MaxWait is how long a request waits for tokens. A short wait is better
+	// than a refusal within the rate: near the bound the next token of a small
+	// account accrues within some 100 ms, or another host settles its grant.
+	MaxWait = 250 * time.Millisecond
+	// askTimeout is how long an owner may take to answer.
+	askTimeout = 50 * time.Millisecond
+	// maxWaiters bounds an account's requests that wait at a host, so that an
+	// account far over its rate costs little.
+	maxWaiters = 64
 	// acceptWithin is how old an ask may be when its answer is accepted.
 	acceptWithin = 500 * time.Millisecond
 	// hedgeAfter is how long an ask may take before the next owner is asked:
@@ -216,6 +223,10 @@
 // Wait makes a request wait for a token: a result Admitted or Refused follows.
 func (h *Holder) Wait(now model.Instant, account model.AccountID, request model.RequestID) {
 	a := h.holding(now, account)
+	if len(a.waiters) >= maxWaiters {
+		h.emit(a.refusal(now, request))
+		return
+	}
 	a.waiters = append(a.waiters, waiter{request, now.Add(MaxWait)})
 	h.step(now, a)
 }
@@ -458,7 +469,7 @@
 	case s.ask != 0 && now < s.askedAt.Add(hedgeAfter):
 		return s.askedAt.Add(hedgeAfter)
 	case s.ask != 0:
-		return s.askedAt.Add(MaxWait)
+		return s.askedAt.Add(askTimeout)
 	case len(a.waiters) > 0 && s.askableFrom() > now:
 		return s.askableFrom()
 	default:
--- a/decision/request.go
+++ b/decision/request.go
@@ -103,7 +103,7 @@
 // authorize checks the request's key against the snapshot in force. It runs
 // again before each forward, because a key may be withdrawn in between.
 func (s *State) authorize(r *request) model.Reason {
-	if s.isIsolated() {
+	if s.isIsolated() || s.isConfigBehind() {
 		return model.ReasonIsolated
 	}
 	if r.route.Open {
@@ -140,6 +140,9 @@
 }
 
 func (s *State) runStage(r *request) step {
+	if r.readmitted && r.stage != stageAdmit {
+		return stepNext
+	}
 	switch r.stage {
 	case stageAdmit:
 		return s.admit(r)
@@ -155,6 +158,9 @@
 		s.refuse(r, reason, 0)
 		return
 	}
+	if !s.ensureToken(r) {
+		return
+	}
 	r.attempts++
 	s.spendToken(r)
 	s.emit(effect.Forward{
--- a/decision/slot/slot.go
+++ b/decision/slot/slot.go
@@ -10,15 +10,15 @@
 
 const (
 	// Lease is how long a renewal lasts, counted from before it was sent.
-	Lease = 6 * time.Second
+	Lease = 4 * time.Second
 	// Grace is added to Lease before a claim.
-	Grace = 3 * time.Second
+	Grace = 2 * time.Second
 	// Guard is what must be left of an owner's authority when it acts.
 	Guard = 500 * time.Millisecond
 	// silence is how long an owner is not heard of before a claim begins.
-	silence = 4 * time.Second
+	silence = 3 * time.Second
 	// renewEvery is the time from one renewal to the next.
-	renewEvery = 2 * time.Second
+	renewEvery = 1300 * time.Millisecond
 	// retryEvery is the time between attempts at the store and at peers.
 	retryEvery = 500 * time.Millisecond
 	// intentMemory is how long an intent is passed on: longer than any claim
--- a/host/store/caller.go
+++ b/host/store/caller.go
@@ -124,8 +124,6 @@
 }
 
 func (c *Caller) readShards(f effect.ReadShards) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
-	defer cancel()
 	shards := make([]configuration.Shard, len(f.Hashes))
 	errs := make([]error, len(f.Hashes))
 	var wait sync.WaitGroup
@@ -133,12 +131,12 @@
 	for i, hash := range f.Hashes {
 		slots <- struct{}{}
 		wait.Go(func() {
-			shards[i], errs[i] = c.records.Shard(ctx, hash)
+			shards[i], errs[i] = c.readShard(hash)
 			<-slots
 		})
 	}
 	wait.Wait()
-	c.postShards(shards, errs)
+	c.postShards(f.Hashes, shards, errs)
 }
 
 // decodeShards decodes shards that the reducer holds, away from the control
@@ -146,13 +144,23 @@
 func (c *Caller) decodeShards(f effect.DecodeShards) {
 	shards := make([]configuration.Shard, len(f.Shards))
 	errs := make([]error, len(f.Shards))
+	hashes := make([]string, len(f.Shards))
 	for i, shard := range f.Shards {
+		hashes[i] = shard.Hash
 		shards[i], errs[i] = DecodeShard(shard.Hash, shard.Encoded)
 	}
-	c.postShards(shards, errs)
+	c.postShards(hashes, shards, errs)
 }
 
-func (c *Caller) postShards(shards []configuration.Shard, errs []error) {
+// readShard has the time of a call for itself, so that a slow store still
+// gives a large tree.
+func (c *Caller) readShard(hash string) (configuration.Shard, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
+	defer cancel()
+	return c.records.Shard(ctx, hash)
+}
+
+func (c *Caller) postShards(hashes []string, shards []configuration.Shard, errs []error) {
 	answer := event.ShardsRead{}
 	for i, err := range errs {
 		if err == nil {
@@ -160,9 +168,11 @@
 			continue
 		}
 		c.note(err)
-		if !errors.Is(err, ErrBroken) {
-			answer.Error = event.StoreUnavailable
+		if errors.Is(err, ErrBroken) {
+			answer.Broken = append(answer.Broken, hashes[i])
+			continue
 		}
+		answer.Error = event.StoreUnavailable
 	}
 	c.loop.Post(answer)
 }
