--- a/decision/health/suspect.go
+++ b/decision/health/suspect.go
@@ -22,6 +22,9 @@
 	trialPasses = 20
 	// trialFailures is the number of bad attempts from which a trial may fail.
 	trialFailures = 3
+	// trialElsewhere is how many of these have to remain without any one
+	// domain. One may be an accident.
+	trialElsewhere = 2
 	// offenceMemory is how long a readmitted server's next ejection counts as
 	// a repetition.
 	offenceMemory = 2 * time.Minute
@@ -72,7 +75,8 @@
 }
 
 func (s *suspect) eject(now model.Instant, ratio float64) {
-	if now >= s.readmitted.Add(offenceMemory) {
+	isFirst := s.phase == inUse && now >= s.readmitted.Add(offenceMemory)
+	if isFirst {
 		s.offences = 0
 	}
 	s.phase = ejected
