--- a/decision/slot/handover.go
+++ b/decision/slot/handover.go
@@ -84,7 +84,7 @@
 		v.handover = nil
 		return
 	}
-	best, ok := s.ranking(now, f).best(v.id, func(m Member) bool {
+	best, ok := s.ranking(now, f).best(v.id, func(m *Member) bool {
 		return m.Heard && !tried[m.Ref.ID]
 	})
 	if !ok || now >= s.until(v) {
@@ -294,15 +294,16 @@
 	if s.stopping || now < s.rebalancedAt.Add(rebalanceEvery) || !s.isSettled(now) {
 		return
 	}
+	s.rebalancedAt = now
 	r := s.ranking(now, f)
+	self := s.selfMember(f)
 	for _, id := range s.order {
 		v := s.slots[id]
 		if v.lease == nil || now >= v.lease.renewedFrom.Add(renewEvery+retryEvery) {
 			continue
 		}
-		best, ok := r.best(id, func(m Member) bool { return m.Heard })
-		if ok && best.Ref != s.self && r.isBetter(id, s.selfMember(f), best) {
-			s.rebalancedAt = now
+		best, ok := r.best(id, func(m *Member) bool { return m.Heard })
+		if ok && best.Ref != s.self && r.isBetter(id, &self, &best) {
 			s.offer(now, v, best.Ref, map[model.HostID]bool{s.self.ID: true}, fill)
 			return
 		}
--- a/decision/slot/plan.go
+++ b/decision/slot/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"slices"
 
 	"pollensail.dev/decision/model"
 )
@@ -37,30 +36,35 @@
 }
 
 // best returns the first host in rank for which keep is true.
-func (r ranking) best(id model.SlotID, keep func(Member) bool) (Member, bool) {
-	var candidates []Member
-	for _, m := range r.members {
-		if m.Staying && keep(m) {
-			candidates = append(candidates, m)
+func (r ranking) best(id model.SlotID, keep func(*Member) bool) (Member, bool) {
+	var best *Member
+	for i := range r.members {
+		m := &r.members[i]
+		if m.Staying && keep(m) && (best == nil || r.compare(id, m, best) < 0) {
+			best = m
 		}
 	}
-	if len(candidates) == 0 {
+	if best == nil {
 		return Member{}, false
 	}
-	return slices.MinFunc(candidates, func(a, b Member) int { return r.compare(id, a, b) }), true
+	return *best, true
 }
 
-func (r ranking) compare(id model.SlotID, a, b Member) int {
-	return cmp.Or(
-		cmp.Compare(distance(id, a), distance(id, b)),
-		cmp.Compare(r.held[a.Ref.ID], r.held[b.Ref.ID]),
-		cmp.Compare(score(id, a.Ref.ID), score(id, b.Ref.ID)),
-	)
+// compare leaves the hash, which costs the most, to hosts that are otherwise
+// equal.
+func (r ranking) compare(id model.SlotID, a, b *Member) int {
+	if c := cmp.Compare(distance(id, a), distance(id, b)); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(r.held[a.Ref.ID], r.held[b.Ref.ID]); c != 0 {
+		return c
+	}
+	return cmp.Compare(score(id, a.Ref.ID), score(id, b.Ref.ID))
 }
 
 // isBetter reports whether moving the slot from one host to another improves
 // the balance by more than the move itself undoes.
-func (r ranking) isBetter(id model.SlotID, from, to Member) bool {
+func (r ranking) isBetter(id model.SlotID, from, to *Member) bool {
 	if d := distance(id, to) - distance(id, from); d != 0 {
 		return d < 0
 	}
@@ -68,7 +72,7 @@
 }
 
 // distance is 0 for hosts of the slot's own failure domain, else 1.
-func distance(id model.SlotID, m Member) int {
+func distance(id model.SlotID, m *Member) int {
 	if m.Domain == id.Domain {
 		return 0
 	}
@@ -98,13 +102,13 @@
 // same knowledge come to the same plan.
 func (s *State) planned(now model.Instant, f Fleet) []*slot {
 	var mine []*slot
+	vacant := s.vacant(now)
+	if len(vacant) == 0 {
+		return nil
+	}
 	r := s.ranking(now, f)
-	for _, id := range s.order {
-		v := s.slots[id]
-		if _, ok := s.presentOwner(now, v); ok {
-			continue
-		}
-		best, ok := r.best(id, func(m Member) bool { return m.Live })
+	for _, v := range vacant {
+		best, ok := r.best(v.id, func(m *Member) bool { return m.Live })
 		if !ok {
 			continue
 		}
@@ -115,3 +119,13 @@
 	}
 	return mine
 }
+
+func (s *State) vacant(now model.Instant) []*slot {
+	var vacant []*slot
+	for _, id := range s.order {
+		if _, ok := s.presentOwner(now, s.slots[id]); !ok {
+			vacant = append(vacant, s.slots[id])
+		}
+	}
+	return vacant
+}
