--- a/decision/limits_scenarios_test.go
+++ b/decision/limits_scenarios_test.go
@@ -8,6 +8,8 @@
 
 	"pollensail.dev/decision"
 	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/fleettest"
 	"pollensail.dev/decision/model"
 )
@@ -179,3 +181,47 @@
 		c.Assert(ownerOf(f, id), qt.IsNotNil)
 	}
 }
+
+// TestTokenEndsBeforeWrite guards against a host that is paused between the
+// decision to forward and the first byte, and writes when its token has
+// expired at the owner.
+func TestTokenEndsBeforeWrite(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(8, 1)
+	f.Request("h0", lookup(0))
+	c.Assert(f.Admitted, qt.HasLen, 1)
+	f.Hosts["h0"].Pause()
+	f.Run(3 * time.Second)
+	f.Hosts["h0"].Resume()
+	f.Run(time.Second)
+	c.Assert(f.Written, qt.HasLen, 0)
+	c.Assert(f.Outcomes[0].Verdict, qt.Equals, model.NotRun)
+}
+
+// TestTokenIsReplaced guards against refusing a request because its token
+// expired while it waited for a server.
+func TestTokenIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	accounts := []configuration.Account{{ID: "a", Rate: 50, Burst: 50}}
+	snapshot := limitsSnapshot(1, 1, accounts)
+	snapshot.Services["lookup"].Concurrency = 1
+	var forwards []effect.Forward
+	f := fleettest.New(fleettest.Options{
+		Hosts: entryHosts(1, 1), Snapshot: snapshot, Configure: decision.SetSnapshot,
+		Intercept: func(_ *fleettest.Host, e effect.Effect) bool {
+			forward, ok := e.(effect.Forward)
+			if ok {
+				forwards = append(forwards, forward)
+			}
+			return ok
+		},
+	})
+	f.Run(5 * time.Second)
+	h := f.Hosts["h0"]
+	first, second := f.Request("h0", lookup(0)), f.Request("h0", lookup(0))
+	f.Run(1950 * time.Millisecond)
+	h.Post(event.AttemptEnded{Request: first, Result: model.AttemptResult{Verdict: model.Ran, Status: 200}})
+	c.Assert(forwards, qt.HasLen, 2)
+	c.Assert(forwards[1].Request, qt.Equals, second)
+	c.Assert(forwards[1].NotAfter, qt.Equals, h.Now().Add(2*time.Second))
+}
--- a/decision/slot/slot_test.go
+++ b/decision/slot/slot_test.go
@@ -192,3 +192,27 @@
 		}
 	}
 }
+
+// TestClaimIsReadBack guards against taking a claim whose answer was lost for
+// a success, or for a failure when it took effect.
+func TestClaimIsReadBack(t *testing.T) {
+	for _, tookEffect := range []bool{true, false} {
+		c := qt.New(t)
+		s := newState()
+		s.tick(0)
+		s.OnRead(0, 0, fleetOf(0), event.SlotRead{Slot: testSlot})
+		swap := s.Take()[0].(Swap)
+		s.OnSwapped(at(1000), 0, event.SlotSwapped{
+			Slot: testSlot, Record: swap.Record, Version: 1, Error: event.StoreUnavailable,
+		})
+		c.Assert(s.Take(), qt.DeepEquals, []Result{Read{testSlot}})
+		c.Assert(s.Held(), qt.HasLen, 0)
+		if !tookEffect {
+			s.OnRead(at(1010), 0, fleetOf(0), event.SlotRead{Slot: testSlot})
+			c.Assert(s.Take(), qt.DeepEquals, []Result{swap})
+			continue
+		}
+		s.OnRead(at(1010), 0, fleetOf(0), event.SlotRead{Slot: testSlot, Record: swap.Record, Version: 1})
+		c.Assert(s.Held(), qt.DeepEquals, []Status{{testSlot, 1, at(6000)}})
+	}
+}
