--- a/decision/limits_bench_test.go
+++ b/decision/limits_bench_test.go
@@ -115,6 +115,7 @@
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			accounts := []configuration.Account{{ID: "a", Rate: 1, Burst: 1}}
 			var asked, answer message.Heartbeat
+			asks := 0
 			f := fleettest.New(fleettest.Options{
 				Hosts: entryHosts(hosts, 4), Snapshot: limitsSnapshot(1, 4, accounts),
 				Configure: decision.SetSnapshot, Line: regionLine,
@@ -124,12 +125,16 @@
 							answer = m
 						} else if ok && m.Sequence != 0 {
 							asked = m
+							asks++
 						}
 					}
 					return false
 				},
 			})
 			f.Run(6 * time.Second)
+			asks = 0
+			f.Run(4 * time.Second)
+			b.ReportMetric(float64(asks)/float64(hosts)/4, "asks/s/host")
 			b.ReportMetric(gobBytes(b, asked), "B/ask")
 			b.ReportMetric(gobBytes(b, answer), "B/answer")
 			b.ReportMetric(float64(len(answer.Hosts)), "ages/answer")
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -60,8 +60,12 @@
 	s.runSlots()
 	s.leavingHeard(m.Leaving)
 	s.configHeard(from, m.Version)
-	if m.Echo == 0 && m.Sequence != 0 {
-		s.answerHeartbeat(from, m)
+	if m.Echo != 0 || m.Sequence == 0 {
+		return
+	}
+	s.answerHeartbeat(from, m)
+	if ask, ok := s.limits.members.AskBack(s.now, m); ok {
+		s.send(from.ID, s.fillHeartbeat(ask))
 	}
 }
 
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -18,6 +18,11 @@
 	// a claimant waits after acknowledgements, because its earlier life may
 	// have acknowledged an intent.
 	youth = 14 * time.Second
+	// staleAfter, newerBy and askBackEvery limit asking back to hosts that are
+	// about to lose sight of the store.
+	staleAfter   = 1500 * time.Millisecond
+	newerBy      = 500 * time.Millisecond
+	askBackEvery = 300 * time.Millisecond
 )
 
 // State is what a host knows of the other entry hosts. Make it with New.
@@ -30,8 +35,9 @@
 	hosts  map[model.HostID]*host // listed ones and self
 	order  []model.HostID         // keys of hosts, sorted
 
-	sequence uint64
-	asked    map[uint64]model.Instant // own heartbeats that may be answered
+	sequence    uint64
+	askedBackAt model.Instant
+	asked       map[uint64]model.Instant // own heartbeats that may be answered
 
 	storeKnown bool
 	storeOwn   bool
@@ -96,9 +102,27 @@
 	if !ok {
 		return "", message.Heartbeat{}, false
 	}
+	return peer, s.ask(now), true
+}
+
+func (s *State) ask(now model.Instant) message.Heartbeat {
 	s.sequence++
 	s.asked[s.sequence] = now
-	return peer, message.Heartbeat{Sequence: s.sequence, StoreAge: s.storeAge(now)}, true
+	return message.Heartbeat{Sequence: s.sequence, StoreAge: s.storeAge(now)}
+}
+
+// AskBack returns a heartbeat that asks the sender of another for an answer,
+// where that sender knows of a much newer store answer. It reports false
+// otherwise. What is pushed in an ask is no evidence, because its age is not
+// bounded; but asking back makes news spread twice as fast as asking at random.
+func (s *State) AskBack(now model.Instant, asked message.Heartbeat) (message.Heartbeat, bool) {
+	own := s.storeAge(now)
+	isOld := !s.storeKnown || own > max(staleAfter, asked.StoreAge+newerBy)
+	if asked.StoreAge < 0 || !isOld || now < s.askedBackAt.Add(askBackEvery) {
+		return message.Heartbeat{}, false
+	}
+	s.askedBackAt = now
+	return s.ask(now), true
 }
 
 func (s *State) forgetAsked(now model.Instant) {
--- a/decision/slot/slot_test.go
+++ b/decision/slot/slot_test.go
@@ -213,6 +213,6 @@
 			continue
 		}
 		s.OnRead(at(1010), 0, fleetOf(0), event.SlotRead{Slot: testSlot, Record: swap.Record, Version: 1})
-		c.Assert(s.Held(), qt.DeepEquals, []Status{{testSlot, 1, at(6000)}})
+		c.Assert(s.Held(), qt.DeepEquals, []Status{{testSlot, 1, at(0).Add(Lease)}})
 	}
 }
