--- a/standin/measure/plot.go
+++ b/standin/measure/plot.go
@@ -8,7 +8,7 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Plot writes one bar chart for each measure that has variants to compare, as
+// Plot writes one bar chart for each of two measures, where there are rows, as
 // SVG files in a folder. Bars show medians; experiments without a detection
 // show the length of the experiment.
 func Plot(folder string, rows []Row) error {
@@ -40,6 +40,9 @@
 		values = append(values, v)
 		labels = append(labels, r.Site+": "+r.Policy+"\n"+r.Condition)
 	}
+	if len(values) == 0 {
+		return nil
+	}
 	bars, err := plotter.NewBarChart(values, vg.Points(14))
 	if err != nil {
 		return err
