--- /dev/null
+++ b/standin/caller/windows_test.go
@@ -0,0 +1,33 @@
+package caller
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/standin/server"
+)
+
+// TestWindows guards against an audit that passes more than a rate allows, work
+// after a withdrawal or work of a leaving server, or that fails an account
+// within its rate.
+func TestWindows(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(0, 0)
+	var calls []Call
+	var runs []server.Run
+	for i := range 11 {
+		sent := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		id := string(rune('a' + i))
+		calls = append(calls, Call{Business: id, Sent: sent})
+		runs = append(runs, server.Run{Business: id, Start: sent.Add(time.Millisecond)})
+	}
+	c.Check(AuditRate(calls, runs, Rate{PerSecond: 10, Burst: 1}), qt.HasLen, 0)
+	c.Check(AuditRate(calls, runs, Rate{PerSecond: 9, Burst: 1}), qt.HasLen, 1)
+	c.Check(AuditRate(calls, runs, Rate{PerSecond: 10, Burst: 0.5}), qt.HasLen, 1)
+	c.Check(AuditWithdrawn(start.Add(850*time.Millisecond), calls, runs), qt.HasLen, 2)
+	c.Check(AuditWithdrawn(start.Add(850*time.Millisecond), calls, runs[:9]), qt.HasLen, 0)
+	c.Check(AuditWithdrawn(start.Add(time.Hour), calls, runs), qt.HasLen, 1)
+	c.Check(AuditIdle(start.Add(850*time.Millisecond), runs), qt.HasLen, 2)
+}
--- a/standin/cmd/standin/audit.go
+++ b/standin/cmd/standin/audit.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -14,6 +15,8 @@
 func newAudit() *cobra.Command {
 	var files, controls, keys []string
 	var once bool
+	var rate caller.Rate
+	var after string
 	cmd := &cobra.Command{
 		Use:   "audit",
 		Short: "Compare what callers were told with what backend servers ran",
@@ -32,6 +35,12 @@
 				return err
 			}
 			faults := caller.Audit(calls, runs, once)
+			faults = append(faults, caller.AuditRate(calls, runs, rate)...)
+			late, err := runsAfter(after, calls, runs)
+			if err != nil {
+				return err
+			}
+			faults = append(faults, late...)
 			for _, key := range keys {
 				faults = append(faults, caller.FindKey(key, received)...)
 			}
@@ -42,9 +51,26 @@
 	cmd.Flags().StringSliceVar(&controls, "control", nil, "control addresses of all backend servers")
 	cmd.Flags().StringSliceVar(&keys, "key", nil, "keys that no backend server may have seen")
 	cmd.Flags().BoolVar(&once, "once", false, "no business id may have run twice")
+	cmd.Flags().Float64Var(&rate.PerSecond, "rate", 0, "rate of the calls' client account, checked in every window")
+	cmd.Flags().Float64Var(&rate.Burst, "burst", 0, "burst of the calls' client account")
+	cmd.Flags().StringVar(&after, "idle-after", "", "time (RFC 3339) after which nothing may have run: no call sent later or, without --calls, nothing at all")
 	return cmd
 }
 
+func runsAfter(text string, calls []caller.Call, runs []server.Run) ([]string, error) {
+	if text == "" {
+		return nil, nil
+	}
+	after, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return nil, err
+	}
+	if len(calls) == 0 {
+		return caller.AuditIdle(after, runs), nil
+	}
+	return caller.AuditWithdrawn(after, calls, runs), nil
+}
+
 func report(cmd *cobra.Command, calls, runs int, faults []string) error {
 	for _, fault := range faults {
 		fmt.Fprintln(cmd.ErrOrStderr(), fault)
--- a/standin/cmd/standin/http.go
+++ b/standin/cmd/standin/http.go
@@ -26,7 +26,7 @@
 // faults, and to wait for a condition in place of a fixed time.
 func newHTTP() *cobra.Command {
 	var want condition
-	var headers []string
+	var headers, trailers []string
 	cmd := &cobra.Command{
 		Use:   "http METHOD ADDRESS/PATH [BODY]",
 		Short: "Send a request and print the answer's body",
@@ -34,7 +34,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			body := strings.Join(args[2:], "")
 			text, err := want.await(cmd.Context(), func(ctx context.Context) (int, string, error) {
-				return exchange(ctx, args[0], "http://"+args[1], headers, body)
+				return exchange(ctx, args[0], "http://"+args[1], headers, trailers, body)
 			})
 			fmt.Fprint(cmd.OutOrStdout(), text)
 			return err
@@ -44,6 +44,7 @@
 	cmd.Flags().StringVar(&want.text, "contains", "", "text that the body has to contain")
 	cmd.Flags().DurationVar(&want.within, "within", 0, "try again for this long until the answer is as expected")
 	cmd.Flags().StringArrayVar(&headers, "header", nil, `header field "Name: value"`)
+	cmd.Flags().StringArrayVar(&trailers, "trailer", nil, `trailer field "Name: value", which makes the body chunked`)
 	return cmd
 }
 
@@ -72,16 +73,18 @@
 	return (w.status == 0 || w.status == status) && strings.Contains(text, w.text)
 }
 
-func exchange(ctx context.Context, method, url string, headers []string, body string) (int, string, error) {
+func exchange(ctx context.Context, method, url string, headers, trailers []string, body string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
-	for _, h := range headers {
-		name, value, _ := strings.Cut(h, ":")
-		req.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	addFields(req.Header, headers)
+	if len(trailers) > 0 {
+		req.ContentLength = -1
+		req.Trailer = make(http.Header)
+		addFields(req.Trailer, trailers)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -91,3 +94,10 @@
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(text), err
 }
+
+func addFields(to http.Header, fields []string) {
+	for _, field := range fields {
+		name, value, _ := strings.Cut(field, ":")
+		to.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+}
--- /dev/null
+++ b/standin/scenario/fleet_test.go
@@ -0,0 +1,223 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// startWait bounds the wait for a process that starts.
+	startWait = 20 * time.Second
+	pollPause = 20 * time.Millisecond
+	// lifetime ends a stand-in whose test was killed.
+	lifetime = "3m"
+)
+
+// fleet holds the processes of one script.
+type fleet struct {
+	dir string
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed when it ended
+}
+
+// start starts a program, output to NAME.log, and keeps it under the name.
+func (f *fleet) start(ts *testscript.TestScript, name, program string, args ...string) {
+	out, err := os.Create(f.log(name))
+	ts.Check(err)
+	defer out.Close()
+	cmd := exec.Command(filepath.Join(programs, program), args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		cmd.Wait()
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = p
+}
+
+func (f *fleet) process(ts *testscript.TestScript, name string) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[name]
+	if !ok {
+		ts.Fatalf("no process %q", name)
+	}
+	return p
+}
+
+func (f *fleet) killAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+func (f *fleet) log(name string) string { return filepath.Join(f.dir, name+".log") }
+
+// until repeats a condition until it holds.
+func until(ts *testscript.TestScript, within time.Duration, what string, holds func() bool) {
+	for end := time.Now().Add(within); !holds(); time.Sleep(pollPause) {
+		if time.Now().After(end) {
+			ts.Fatalf("%s: not within %v", what, within)
+		}
+	}
+}
+
+// standin starts a stand-in and sets NAME and NAME_KEY for each address that it
+// announces.
+func (f *fleet) standin(ts *testscript.TestScript, name string, args ...string) {
+	file := filepath.Join(f.dir, name+".addr")
+	args = append(args, "--announce", file, "--lifetime", lifetime)
+	f.start(ts, name, "standin", args...)
+	until(ts, startWait, "start of "+name, func() bool {
+		_, err := os.Stat(file)
+		return err == nil
+	})
+	for line := range strings.Lines(ts.ReadFile(file)) {
+		key, address, _ := strings.Cut(strings.TrimSpace(line), "=")
+		ts.Setenv(name+"_"+key, address)
+	}
+}
+
+func (f *fleet) startStore(ts *testscript.TestScript, _ []string) {
+	f.standin(ts, "store", "store")
+	ts.Setenv("POLLENSAIL_STORE", ts.Getenv("store_store"))
+}
+
+func (f *fleet) startBackend(ts *testscript.TestScript, args []string) {
+	name, kind, service, domain := args[0], args[1], args[2], args[3]
+	f.standin(ts, name, append([]string{"backend", "--name", name, "--kind", kind}, args[4:]...)...)
+	work := ts.Getenv(name + "_work")
+	f.list(ts, work, fmt.Sprintf(`{"role":"backend","domain":%q,"service":%q}`, domain, service))
+	ts.Setenv("controls", strings.Trim(ts.Getenv("controls")+","+ts.Getenv(name+"_control"), ","))
+}
+
+func (f *fleet) list(ts *testscript.TestScript, id, entry string) {
+	ts.Check(ts.Exec("standin", "http", "PUT", ts.Getenv("store_store")+"/v1/hosts/"+id, entry))
+}
+
+const settings = `host = %q
+domain = %q
+[listen]
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+operator = "127.0.0.1:0"
+[store]
+address = %q
+[tls]
+insecure = true
+[stop]
+balancer_delay = "500ms"
+`
+
+var startedLine = regexp.MustCompile(`.*"host started"`)
+
+// startHost starts an entry host, lists it, and sets NAME, NAME_peer and
+// NAME_operator. Its store or its peers reach it through the relay on request.
+func (f *fleet) startHost(ts *testscript.TestScript, args []string) {
+	name, domain := args[0], args[1]
+	store := ts.Getenv("store_store")
+	if slices.Contains(args[2:], "relay-store") {
+		f.standin(ts, name+"_relay", "relay", "--to", store)
+		store = ts.Getenv(name + "_relay_relay0")
+	}
+	file := filepath.Join(f.dir, name+".toml")
+	ts.Check(os.WriteFile(file, fmt.Appendf(nil, settings, name, domain, store), 0o600))
+	f.start(ts, name, "pollensail", "--settings", file)
+	var line string
+	until(ts, startWait, "start of "+name, func() bool {
+		line = startedLine.FindString(ts.ReadFile(f.log(name)))
+		return line != ""
+	})
+	for _, port := range []string{"caller", "peer", "operator"} {
+		address := regexp.MustCompile(`"` + port + `":"([0-9.:]+)"`).FindStringSubmatch(line)
+		ts.Setenv(name+"_"+port, address[1])
+	}
+	ts.Setenv(name, ts.Getenv(name+"_caller"))
+	if slices.Contains(args[2:], "relay-peer") {
+		f.standin(ts, name+"_relay", "relay", "--to", ts.Getenv(name+"_peer"))
+		ts.Setenv(name+"_peer", ts.Getenv(name+"_relay_relay0"))
+	}
+	f.list(ts, name, fmt.Sprintf(`{"role":"entry","domain":%q,"peer":%q,"operator":%q}`,
+		domain, ts.Getenv(name+"_peer"), ts.Getenv(name+"_operator")))
+}
+
+func (f *fleet) ready(ts *testscript.TestScript, hosts []string) {
+	for _, host := range hosts {
+		ts.Check(ts.Exec("standin", "http", "GET", ts.Getenv(host+"_operator")+"/readyz", "--within", "40s"))
+	}
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+}
+
+func (f *fleet) send(ts *testscript.TestScript, args []string) {
+	ts.Check(f.process(ts, args[1]).cmd.Process.Signal(signals[args[0]]))
+}
+
+// ended waits for the end of a process and checks its exit code.
+func (f *fleet) ended(ts *testscript.TestScript, args []string) {
+	p := f.process(ts, args[0])
+	select {
+	case <-p.done:
+	case <-time.After(startWait):
+		ts.Fatalf("%s has not ended within %v", args[0], startWait)
+	}
+	if code := strconv.Itoa(p.cmd.ProcessState.ExitCode()); code != args[1] {
+		ts.Fatalf("%s ended with code %s:\n%s", args[0], code, ts.ReadFile(f.log(args[0])))
+	}
+}
+
+// fault switches the faults of the store or a backend server.
+func (f *fleet) fault(ts *testscript.TestScript, args []string) {
+	address := ts.Getenv(args[0]+"_control") + "/faults"
+	if args[0] == "store" {
+		address = ts.Getenv("store_store") + "/standin/faults"
+	}
+	ts.Check(ts.Exec("standin", "http", "PUT", address, args[1]))
+}
+
+// relay sets the rules of a host's relay.
+func (f *fleet) relay(ts *testscript.TestScript, args []string) {
+	ts.Check(ts.Exec("standin", "http", "PUT", ts.Getenv(args[0]+"_relay_control")+"/rules", args[1]))
+}
+
+// grant grants a key and sets a variable to it.
+func (f *fleet) grant(ts *testscript.TestScript, args []string) {
+	ts.Check(ts.Exec("pollenctl", "key", "grant", args[1]))
+	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile("stdout")))
+}
+
+// refused checks that a start with broken settings ends with code 2 and says
+// what matches a pattern.
+func (f *fleet) refused(ts *testscript.TestScript, args []string) {
+	f.start(ts, "refused", "pollensail", "--settings", ts.MkAbs(args[0]))
+	f.ended(ts, []string{"refused", "2"})
+	text := ts.ReadFile(f.log("refused"))
+	if !regexp.MustCompile(args[1]).MatchString(text) {
+		ts.Fatalf("no match for %s in\n%s", args[1], text)
+	}
+}
