--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"syscall"
 	"time"
@@ -56,8 +57,8 @@
 
 // call sends one request until it ended for good.
 func (c *client) call(ctx context.Context, index int, due time.Time) Call {
-	call := Call{Business: newUUID(), Sent: time.Now()}
-	key := newUUID()
+	call := Call{Business: NewUUID(), Sent: time.Now()}
+	key := NewUUID()
 	for {
 		host := c.config.Hosts[(index+call.Tries)%len(c.config.Hosts)]
 		call.Tries++
@@ -83,7 +84,7 @@
 	call.Verdict = MayHaveRun
 	resp, body, err := c.exchange(c.request(host, call.Business, key))
 	if err != nil {
-		call.Error = err.Error()
+		call.Error = withoutURL(err).Error()
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			call.Verdict = NotRun
 		}
@@ -98,6 +99,16 @@
 	call.Crossed = call.Status == http.StatusOK && !bytes.Contains(body, []byte(call.Business))
 }
 
+// withoutURL drops the URL, which differs from call to call, so that a summary
+// can count equal errors.
+func withoutURL(err error) error {
+	var outer *url.Error
+	if errors.As(err, &outer) {
+		return outer.Err
+	}
+	return err
+}
+
 // exchange sends a request and reads the whole answer.
 func (c *client) exchange(req *http.Request) (*http.Response, []byte, error) {
 	resp, err := c.http.Do(req)
@@ -125,8 +136,8 @@
 	if strings.Contains(c.config.Path, "?") {
 		separator = "&"
 	}
-	url := "http://" + host + c.config.Path + separator + "business=" + business
-	req, err := http.NewRequest(c.config.Method, url, strings.NewReader(c.config.Body))
+	target := "http://" + host + c.config.Path + separator + "business=" + business
+	req, err := http.NewRequest(c.config.Method, target, strings.NewReader(c.config.Body))
 	if err != nil {
 		panic(err) // the settings of the run are no URL
 	}
@@ -142,9 +153,9 @@
 	return req
 }
 
-// newUUID returns a UUIDv7 (RFC 9562): 48 bits of Unix milliseconds, then
+// NewUUID returns a UUIDv7 (RFC 9562): 48 bits of Unix milliseconds, then
 // random bits around version and variant.
-func newUUID() string {
+func NewUUID() string {
 	var b [16]byte
 	rand.Read(b[:])
 	var ms [8]byte
--- a/standin/scenario/check_test.go
+++ b/standin/scenario/check_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"pollensail.dev/host/telemetry"
+	"pollensail.dev/standin/caller"
 )
 
 // instant sets a variable to a time from now.
@@ -17,6 +22,11 @@
 	ts.Setenv(args[0], time.Now().Add(d).Format(time.RFC3339Nano))
 }
 
+// uuid sets a variable to a new UUIDv7.
+func (f *fleet) uuid(ts *testscript.TestScript, args []string) {
+	ts.Setenv(args[0], caller.NewUUID())
+}
+
 // await repeats a program until it succeeds.
 func (f *fleet) await(ts *testscript.TestScript, args []string) {
 	within, err := time.ParseDuration(args[0])
@@ -45,6 +55,31 @@
 	}
 }
 
+// replace replaces a text that is in a file once.
+func (f *fleet) replace(ts *testscript.TestScript, args []string) {
+	text := ts.ReadFile(args[0])
+	if strings.Count(text, args[1]) != 1 {
+		ts.Fatalf("%q is not once in\n%s", args[1], text)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], args[2], 1)), 0o600))
+}
+
+// out waits until a server is ejected on all hosts.
+func (f *fleet) out(ts *testscript.TestScript, args []string) {
+	within, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	until(ts, within, args[0]+" ejected everywhere", func() bool {
+		for _, host := range args[2:] {
+			out := make(map[string]string)
+			addUnused(ts, out, ts.Getenv(host+"_operator"))
+			if out[ts.Getenv(args[0]+"_work")] != "ejected" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // sampleTime bounds a sample of all hosts: a server comes back into use 2 s
 // before another may be ejected in its place, so a longer sample proves nothing.
 const sampleTime = time.Second
@@ -77,16 +112,25 @@
 }
 
 func addUnused(ts *testscript.TestScript, out map[string]string, operator string) {
-	resp, err := http.Get("http://" + operator + "/status")
+	status, err := statusOf(operator)
 	ts.Check(err)
-	defer resp.Body.Close()
-	var status struct {
-		Servers []struct{ Server, State string }
-	}
-	ts.Check(json.NewDecoder(resp.Body).Decode(&status))
 	for _, s := range status.Servers {
-		if s.State != "avoided by this host" && s.State != "in trial" {
+		if s.State != "avoided by this host" {
 			out[s.Server] = s.State
 		}
 	}
 }
+
+// statusOf reads /status of an operator port.
+func statusOf(operator string) (telemetry.Status, error) {
+	var status telemetry.Status
+	resp, err := http.Get("http://" + operator + "/status")
+	if err != nil {
+		return status, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return status, errors.New(resp.Status)
+	}
+	return status, json.NewDecoder(resp.Body).Decode(&status)
+}
--- a/standin/scenario/fleet_test.go
+++ b/standin/scenario/fleet_test.go
@@ -164,10 +164,23 @@
 		domain, ts.Getenv(name+"_peer"), ts.Getenv(name+"_operator")))
 }
 
+// slots is the number of slots of testdata/tree.toml.
+const slots = 8
+
+// ready waits until the hosts are ready and own all slots together. A takeover
+// from a killed host takes about 13 s.
 func (f *fleet) ready(ts *testscript.TestScript, hosts []string) {
-	for _, host := range hosts {
-		ts.Check(ts.Exec("standin", "http", "GET", ts.Getenv(host+"_operator")+"/readyz", "--within", "40s"))
-	}
+	until(ts, 2*startWait, fmt.Sprintf("%v ready with all slots", hosts), func() bool {
+		owned := 0
+		for _, host := range hosts {
+			status, err := statusOf(ts.Getenv(host + "_operator"))
+			if err != nil || !status.Ready {
+				return false
+			}
+			owned += len(status.Slots)
+		}
+		return owned == slots
+	})
 }
 
 var signals = map[string]syscall.Signal{
@@ -178,6 +191,34 @@
 	ts.Check(f.process(ts, args[1]).cmd.Process.Signal(signals[args[0]]))
 }
 
+// stop stops a host under load with long exports, and checks that each request
+// was answered and the host ended with code 0. A request that was told not-run
+// is sent again to the next host, as the platform's balancer does.
+func (f *fleet) stop(ts *testscript.TestScript, args []string) {
+	host, callers := args[0], args[1]
+	loads := [][]string{
+		{"--path", "/birds/1", "--rate", "80", "--count", "320"},
+		{"--path", "/seasons/1", "--rate", "8", "--count", "24", "--timeout", "10s"},
+	}
+	for i, load := range loads {
+		out := filepath.Join(f.dir, fmt.Sprintf("%s-load%d.jsonl", host, i))
+		f.start(ts, fmt.Sprint(host, "-load", i), "standin", slices.Concat([]string{"call", "--host", callers,
+			"--key", ts.Getenv("RIDGE"), "--retries", "3", "--calls", out}, load)...)
+	}
+	until(ts, startWait, "exports at "+host, func() bool {
+		status, err := statusOf(ts.Getenv(host + "_operator"))
+		return err == nil && status.InFlight >= 2
+	})
+	f.send(ts, []string{"TERM", host})
+	f.ended(ts, []string{host, "0"})
+	ts.Check(ts.Exec("standin", "http", "DELETE", ts.Getenv("store_store")+"/v1/hosts/"+host))
+	for i, count := range []string{"320", "24"} {
+		name := fmt.Sprint(host, "-load", i)
+		f.ended(ts, []string{name, "0"})
+		f.expect(ts, []string{f.log(name), "ok", "=", count})
+	}
+}
+
 // ended waits for the end of a process and checks its exit code.
 func (f *fleet) ended(ts *testscript.TestScript, args []string) {
 	p := f.process(ts, args[0])
--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -39,26 +39,37 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", programs+string(filepath.ListSeparator)+env.Getenv("PATH"))
+			tree, err := os.ReadFile("testdata/tree.toml")
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(filepath.Join(env.WorkDir, "tree.toml"), tree, 0o600); err != nil {
+				return err
+			}
 			f := &fleet{dir: env.WorkDir, processes: make(map[string]*process)}
 			env.Values[fleetKey{}] = f
 			env.Defer(f.killAll)
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"store":   command(0, "", (*fleet).startStore),
-			"backend": command(4, "NAME KIND SERVICE DOMAIN [FLAG...]", (*fleet).startBackend),
-			"host":    command(2, "NAME DOMAIN [relay-store] [relay-peer]", (*fleet).startHost),
-			"ready":   command(1, "HOST...", (*fleet).ready),
-			"send":    command(2, "SIGNAL NAME", (*fleet).send),
-			"ended":   command(2, "NAME CODE", (*fleet).ended),
-			"fault":   command(2, "NAME JSON", (*fleet).fault),
-			"relay":   command(2, "HOST RULES", (*fleet).relay),
-			"grant":   command(2, "VARIABLE ACCOUNT", (*fleet).grant),
-			"instant": command(2, "VARIABLE DURATION", (*fleet).instant),
-			"await":   command(2, "DURATION PROGRAM [ARG...]", (*fleet).await),
-			"expect":  command(4, "FILE FIELD OPERATOR NUMBER", (*fleet).expect),
-			"refused": command(2, "SETTINGS PATTERN", (*fleet).refused),
-			"unused":  command(3, "MAX DURATION HOST...", (*fleet).unused),
+			"store":        command(0, "", (*fleet).startStore),
+			"backend":      command(4, "NAME KIND SERVICE DOMAIN [FLAG...]", (*fleet).startBackend),
+			"host":         command(2, "NAME DOMAIN [relay-store] [relay-peer]", (*fleet).startHost),
+			"ready":        command(1, "HOST...", (*fleet).ready),
+			"send":         command(2, "SIGNAL NAME", (*fleet).send),
+			"ended":        command(2, "NAME CODE", (*fleet).ended),
+			"fault":        command(2, "NAME JSON", (*fleet).fault),
+			"relay":        command(2, "HOST RULES", (*fleet).relay),
+			"grant":        command(2, "VARIABLE ACCOUNT", (*fleet).grant),
+			"instant":      command(2, "VARIABLE DURATION", (*fleet).instant),
+			"uuid":         command(1, "VARIABLE", (*fleet).uuid),
+			"await":        command(2, "DURATION PROGRAM [ARG...]", (*fleet).await),
+			"expect":       command(4, "FILE FIELD OPERATOR NUMBER", (*fleet).expect),
+			"out":          command(3, "SERVER DURATION HOST...", (*fleet).out),
+			"replace":      command(3, "FILE OLD NEW", (*fleet).replace),
+			"planned-stop": command(2, "HOST CALLERS", (*fleet).stop),
+			"refused":      command(2, "SETTINGS PATTERN", (*fleet).refused),
+			"unused":       command(3, "MAX DURATION HOST...", (*fleet).unused),
 		},
 	})
 }
