--- a/standin/scenario/fleet_test.go
+++ b/standin/scenario/fleet_test.go
@@ -33,8 +33,9 @@
 }
 
 type process struct {
-	cmd  *exec.Cmd
-	done chan struct{} // closed when it ended
+	cmd     *exec.Cmd
+	done    chan struct{} // closed when it ended
+	started time.Time
 }
 
 // start starts a program, output to NAME.log, and keeps it under the name.
@@ -45,7 +46,7 @@
 	cmd := exec.Command(filepath.Join(programs, program), args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	ts.Check(cmd.Start())
-	p := &process{cmd: cmd, done: make(chan struct{})}
+	p := &process{cmd: cmd, done: make(chan struct{}), started: time.Now()}
 	go func() {
 		defer close(p.done)
 		cmd.Wait()
@@ -183,6 +184,18 @@
 	})
 }
 
+// evidenceAge is how old a host is at least when what it says is evidence of a
+// store outage, with the time it takes to tell the others. The design sets 14 s.
+const evidenceAge = 16 * time.Second
+
+// old waits until hosts are old enough for a store outage to be told from
+// isolation.
+func (f *fleet) old(ts *testscript.TestScript, hosts []string) {
+	for _, host := range hosts {
+		time.Sleep(time.Until(f.process(ts, host).started.Add(evidenceAge)))
+	}
+}
+
 var signals = map[string]syscall.Signal{
 	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
 }
--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -56,6 +56,7 @@
 			"backend":      command(4, "NAME KIND SERVICE DOMAIN [FLAG...]", (*fleet).startBackend),
 			"host":         command(2, "NAME DOMAIN [relay-store] [relay-peer]", (*fleet).startHost),
 			"ready":        command(1, "HOST...", (*fleet).ready),
+			"old":          command(1, "HOST...", (*fleet).old),
 			"send":         command(2, "SIGNAL NAME", (*fleet).send),
 			"ended":        command(2, "NAME CODE", (*fleet).ended),
 			"fault":        command(2, "NAME JSON", (*fleet).fault),
