--- a/standin/scenario/check_test.go
+++ b/standin/scenario/check_test.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// most waits until at most MAX servers are out of use, summed over the hosts.
+func (f *fleet) most(ts *testscript.TestScript, args []string) {
+	most, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	within, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	until(ts, within, "at most "+args[0]+" servers out of use", func() bool {
+		out := make(map[string]string)
+		for _, host := range args[2:] {
+			addUnused(ts, out, ts.Getenv(host+"_operator"))
+		}
+		return len(out) <= most
+	})
+}
+
 func addUnused(ts *testscript.TestScript, out map[string]string, operator string) {
 	status, err := statusOf(operator)
 	ts.Check(err)
--- a/standin/scenario/fleet_test.go
+++ b/standin/scenario/fleet_test.go
@@ -168,8 +168,9 @@
 // slots is the number of slots of testdata/tree.toml.
 const slots = 8
 
-// ready waits until the hosts are ready and own all slots together. A takeover
-// from a killed host takes about 13 s.
+// ready waits until the hosts are ready, own all slots together and answer
+// RIDGE. A takeover from a killed host takes about 13 s, and a host is ready
+// before it knows who owns the slots.
 func (f *fleet) ready(ts *testscript.TestScript, hosts []string) {
 	until(ts, 2*startWait, fmt.Sprintf("%v ready with all slots", hosts), func() bool {
 		owned := 0
@@ -182,6 +183,10 @@
 		}
 		return owned == slots
 	})
+	for _, host := range hosts {
+		ts.Check(ts.Exec("standin", "http", "GET", ts.Getenv(host)+"/birds/1",
+			"--header", "X-Api-Key: "+ts.Getenv("RIDGE"), "--within", startWait.String()))
+	}
 }
 
 // evidenceAge is how old a host is at least when what it says is evidence of a
--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -70,6 +70,7 @@
 			"replace":      command(3, "FILE OLD NEW", (*fleet).replace),
 			"planned-stop": command(2, "HOST CALLERS", (*fleet).stop),
 			"refused":      command(2, "SETTINGS PATTERN", (*fleet).refused),
+			"most":         command(3, "MAX DURATION HOST...", (*fleet).most),
 			"unused":       command(3, "MAX DURATION HOST...", (*fleet).unused),
 		},
 	})
