End the process at the second signal

Cause: the callers' port stayed open when the context of the process ended, so that Run waited for it for ever. The callers' port now closes with the context, and the process ends with exit code 1 and a message that says what was cut off. A planned stop that is complete logs so.

--- /dev/null
+++ b/host/cmd/pollensail/main_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// asCommand makes the test binary run the command itself.
+const asCommand = "POLLENSAIL_TEST_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asCommand) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// start runs the command with a settings file. Its output is a line at a time.
+func start(c *qt.C, text string) (*exec.Cmd, *bufio.Scanner) {
+	file := filepath.Join(c.TempDir(), "host.toml")
+	c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	cmd := exec.Command(os.Args[0], "--settings", file)
+	cmd.Env = append(os.Environ(), asCommand+"=1")
+	output, err := cmd.StderrPipe()
+	c.Assert(err, qt.IsNil)
+	c.Assert(cmd.Start(), qt.IsNil)
+	// A command that does not end is killed, and then its exit code is wrong.
+	timer := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
+	c.Cleanup(func() { timer.Stop() })
+	return cmd, bufio.NewScanner(output)
+}
+
+func awaitLine(c *qt.C, lines *bufio.Scanner, text string) {
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), text) {
+			return
+		}
+	}
+	c.Fatalf("the command ended without %q", text)
+}
+
+const whole = `host = "h1"
+domain = "a"
+listen = {caller = "127.0.0.1:0", peer = "127.0.0.1:0", operator = "127.0.0.1:0"}
+store = {address = "127.0.0.1:1"}
+tls = {insecure = true}
+stop = {balancer_delay = "1h"}
+`
+
+// TestSecondSignal guards against a process that a second signal cannot end
+// while its planned stop waits, and against an exit code that hides it.
+func TestSecondSignal(t *testing.T) {
+	c := qt.New(t)
+	cmd, lines := start(c, whole)
+	awaitLine(c, lines, "host started")
+	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	awaitLine(c, lines, "planned stop begins")
+	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	awaitLine(c, lines, "ended before the planned stop was complete")
+	_ = cmd.Wait() // the exit code is checked
+	c.Assert(cmd.ProcessState.ExitCode(), qt.Equals, 1)
+}
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -79,24 +79,32 @@
 	return uint64(time.Now().UnixMilli())<<16 | uint64(binary.LittleEndian.Uint16(chance[:]))
 }
 
+// ErrCutShort says that a process ended before its planned stop was complete.
+var ErrCutShort = errors.New("ended before the planned stop was complete: requests in flight were cut off, slots were not handed over")
+
 // Run serves until stop ends, which begins a planned stop, or until ctx ends,
-// which ends the process at once. It returns nil after a planned stop.
+// which ends the process at once. It returns nil after a planned stop and
+// ErrCutShort where ctx ended.
 func (p *Process) Run(ctx, stop context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	running, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	p.connect(ctx, group)
+	group, running := errgroup.WithContext(running)
+	p.connect(running, group)
 	p.logStart()
-	group.Go(func() error { return p.serveCallers() })
-	group.Go(func() error { return p.observer.Serve(ctx, p.listeners.operator, p.loop) })
-	group.Go(func() error { return p.awaitStop(ctx, stop) })
+	group.Go(func() error { return p.serveCallers(running) })
+	group.Go(func() error { return p.observer.Serve(running, p.listeners.operator, p.loop) })
+	group.Go(func() error { return p.awaitStop(running, stop) })
 	group.Go(func() error {
 		defer cancel()
-		return p.runLoop(ctx)
+		return p.runLoop(running)
 	})
 	err := group.Wait()
 	p.transport.Close()
-	if errors.Is(err, context.Canceled) {
+	switch {
+	case ctx.Err() != nil:
+		return ErrCutShort
+	case errors.Is(err, context.Canceled):
+		p.logger.Info().Msg("planned stop complete")
 		return nil
 	}
 	return err
@@ -161,8 +169,12 @@
 	})
 }
 
-func (p *Process) serveCallers() error {
-	if err := p.frontend.Serve(p.listeners.caller); err != nil {
+// serveCallers serves until the callers' port is closed, by a planned stop or
+// with ctx.
+func (p *Process) serveCallers(ctx context.Context) error {
+	end := context.AfterFunc(ctx, func() { p.listeners.caller.Close() })
+	defer end()
+	if err := p.frontend.Serve(p.listeners.caller); err != nil && ctx.Err() == nil {
 		return merry.Prepend(err, "callers' port")
 	}
 	return nil
