Refuse at the start settings that cannot be used

Cause: only the form of the settings ended the start with exit code 2. A port in use or a missing key file gave exit code 1, and a certificate that does not name the host, or that its authority did not sign, passed: the host reported itself ready and had no link to any peer. All of these now end the start with exit code 2, the file and the key.

--- a/host/cmd/pollensail/main.go
+++ b/host/cmd/pollensail/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -54,7 +53,7 @@
 	defer logger.Close()
 	p, err := process.New(s, logger)
 	if err != nil {
-		return fmt.Errorf("%s: %w", file, err)
+		return &settings.Error{File: file, Problem: err.Error()}
 	}
 	ctx, stop := signals()
 	return p.Run(ctx, stop)
--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -69,3 +71,21 @@
 	_ = cmd.Wait() // the exit code is checked
 	c.Assert(cmd.ProcessState.ExitCode(), qt.Equals, 1)
 }
+
+// TestUnusableSettings guards against settings that cannot be used and do not
+// end the start with exit code 2, the file and the key.
+func TestUnusableSettings(t *testing.T) {
+	c := qt.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer taken.Close()
+	for _, tc := range []struct{ old, new, want string }{
+		{"insecure = true", `certificate = "none", key = "none", authority = "none"`, "host.toml: tls.certificate none"},
+		{`operator = "127.0.0.1:0"`, fmt.Sprintf("operator = %q", taken.Addr()), "host.toml: listen.operator: "},
+	} {
+		cmd, lines := start(c, strings.Replace(whole, tc.old, tc.new, 1))
+		awaitLine(c, lines, tc.want)
+		_ = cmd.Wait() // the exit code is checked
+		c.Check(cmd.ProcessState.ExitCode(), qt.Equals, 2, qt.Commentf("%s", tc.want))
+	}
+}
--- a/host/peer/identity.go
+++ b/host/peer/identity.go
@@ -48,6 +48,32 @@
 // Insecure reports whether the identity proves nothing.
 func (i Identity) Insecure() bool { return i.authority == nil }
 
+// Check reports why other hosts would not take the identity for the given
+// host: its name, its authority, its time or its use. The zero Identity passes.
+func (i Identity) Check(host model.HostID) error {
+	if i.Insecure() {
+		return nil
+	}
+	others := x509.NewCertPool()
+	for _, der := range i.certificate.Certificate[1:] {
+		if c, err := x509.ParseCertificate(der); err == nil {
+			others.AddCert(c)
+		}
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		_, err := i.certificate.Leaf.Verify(x509.VerifyOptions{
+			DNSName:       string(host),
+			Roots:         i.authority,
+			Intermediates: others,
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // client turns a connection into one to the given host, whose certificate must
 // name it.
 func (i Identity) client(ctx context.Context, conn net.Conn, host model.HostID) (net.Conn, error) {
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := identity.Check(s.Host); err != nil {
+		return nil, merry.Prependf(err, "tls.certificate %s", s.TLS.Certificate)
+	}
 	l, err := listen(s.Listen)
 	if err != nil {
 		return nil, err
