Log when the host list cannot be read and when it can again

Cause: a host whose settings name a wrong store address logged nothing but its start and never became ready. The first failure in a row and its end are now logged with the error.

--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -59,11 +59,12 @@
 `
 
 // TestSecondSignal guards against a process that a second signal cannot end
-// while its planned stop waits, and against an exit code that hides it.
+// while its planned stop waits, and against an exit code that hides it. The
+// store does not answer, which the log has to say.
 func TestSecondSignal(t *testing.T) {
 	c := qt.New(t)
 	cmd, lines := start(c, whole)
-	awaitLine(c, lines, "host started")
+	awaitLine(c, lines, "host list cannot be read")
 	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	awaitLine(c, lines, "planned stop begins")
 	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
--- a/host/store/hostlist.go
+++ b/host/store/hostlist.go
@@ -15,7 +15,8 @@
 const hostListPeriod = time.Second
 
 // HostList reads the platform's host list once a period and posts each answer.
-// The reducer hears nothing while the list cannot be read.
+// The reducer hears nothing while the list cannot be read; the log says when
+// that begins and ends.
 type HostList struct {
 	Store   Store
 	Loop    Loop
@@ -30,8 +31,13 @@
 func (h HostList) Run(ctx context.Context) error {
 	ticker := time.NewTicker(hostListPeriod)
 	defer ticker.Stop()
+	var last error
 	for {
-		h.read(ctx)
+		err := h.read(ctx)
+		if ctx.Err() == nil {
+			h.logChange(last, err)
+			last = err
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -40,18 +46,29 @@
 	}
 }
 
-func (h HostList) read(ctx context.Context) {
+func (h HostList) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
 	defer cancel()
 	entries, err := h.Store.HostList(ctx)
-	if errors.Is(err, ErrBroken) {
-		h.Log.Error().Err(err).Msg("host list is broken")
-	}
 	if err != nil {
-		return
+		return err
 	}
 	if h.Listed != nil {
 		h.Listed(entries)
 	}
 	h.Loop.Post(event.HostsListed{Entries: entries})
+	return nil
+}
+
+// logChange logs the first failure in a row and its end. A host without a
+// configuration has no other line for a store that it cannot reach.
+func (h HostList) logChange(last, err error) {
+	switch {
+	case errors.Is(err, ErrBroken) && !errors.Is(last, ErrBroken):
+		h.Log.Error().Err(err).Msg("host list is broken")
+	case err != nil && last == nil:
+		h.Log.Warn().Err(err).Msg("host list cannot be read")
+	case err == nil && last != nil:
+		h.Log.Info().Msg("host list is read again")
+	}
 }
