Show all counters of links, and lost lines, in /metrics

Cause: the process registered two of the counters of the peer links, so that refused links, late messages and messages by type did not appear, nor did requests that were refused unread and lost log lines.

--- a/host/process/process.go
+++ b/host/process/process.go
@@ -126,7 +126,7 @@
 	})
 	platform := store.NewHTTP(string(p.settings.Store.Address))
 	timeout := time.Duration(p.settings.Store.Timeout)
-	p.observer = telemetry.New(logger, peerSources(peers)...)
+	p.observer = telemetry.New(logger, p.sources(peers)...)
 	p.loop.Connect(control.Adapters{
 		Traffic:  traffic{p.frontend, p.loop},
 		Peers:    peers,
@@ -140,16 +140,20 @@
 	group.Go(func() error { return hosts.Run(ctx) })
 }
 
-// peerSources are the counts of control traffic for /metrics.
-func peerSources(peers *peer.Peers) []telemetry.Source {
-	return []telemetry.Source{
-		{Name: "peer_sent_bytes", Help: "Bytes sent to other hosts.", Read: func() float64 {
-			return float64(peers.Counters().BytesSent)
-		}},
-		{Name: "peer_received_bytes", Help: "Bytes received from other hosts.", Read: func() float64 {
-			return float64(peers.Counters().BytesReceived)
-		}},
-	}
+// sources are the counts of the adapters for /metrics.
+func (p *Process) sources(peers *peer.Peers) []telemetry.Source {
+	return append(peers.Sources(),
+		telemetry.Source{
+			Name: "requests_unread_total",
+			Help: "Requests refused unread: malformed, too large or too slow.",
+			Read: func() float64 { return float64(p.frontend.Rejected()) },
+		},
+		telemetry.Source{
+			Name: "log_lines_lost_total",
+			Help: "Log lines that the output did not take in time.",
+			Read: func() float64 { return float64(p.logger.Lost()) },
+		},
+	)
 }
 
 func (p *Process) logStart() {
