--- a/host/cmd/pollenctl/tool_test.go
+++ b/host/cmd/pollenctl/tool_test.go
@@ -192,6 +192,22 @@
 	r.c.Assert(history[0].Note, qt.Equals, "withdraw a key of ntnu")
 }
 
+// TestRollbackKeepsKeys guards against an earlier version that makes withdrawn
+// keys valid again, or granted ones invalid.
+func TestRollbackKeepsKeys(t *testing.T) {
+	r := newTerminal(t)
+	r.must("tree", "apply", r.file("tree.toml", tree))
+	withdrawn := strings.TrimSpace(r.must("key", "grant", "ntnu"))
+	r.must("key", "withdraw", "ntnu", withdrawn)
+	granted := strings.TrimSpace(r.must("key", "grant", "uio"))
+	r.must("tree", "set", "accounts/ntnu", "rate=1/s")
+	r.must("tree", "apply", "--version", "2")
+	text := r.must("tree", "get")
+	r.c.Assert(text, qt.Not(qt.Contains), operate.HashKey(withdrawn))
+	r.c.Assert(text, qt.Contains, operate.HashKey(granted))
+	r.c.Assert(text, qt.Not(qt.Contains), "1/s")
+}
+
 // TestStatus guards against a host that is left out because it does not
 // answer, and against a wait that ends before all hosts have the version.
 func TestStatus(t *testing.T) {
--- a/host/cmd/pollenctl/tree.go
+++ b/host/cmd/pollenctl/tree.go
@@ -170,7 +170,11 @@
 		Long: `Replaces the tree by a tree file, or by an earlier version. A file that says
 which version it was made from (base_version) is merged with later edits where
 they changed other settings, and refused where they changed the same. A file
-without it replaces the newest version whole.`,
+without it replaces the newest version whole, keys included.
+
+--version takes all settings from an earlier version but the keys: accounts
+keep the keys that they have now, so that no withdrawn key works again and no
+granted one stops. An account that was removed since comes back without keys.`,
 		Example: `  pollenctl tree apply tree.toml --note "more servers for lookups"
   pollenctl tree apply --version 41 --note "back to before the incident"`,
 		Args: cobra.MaximumNArgs(1),
@@ -201,7 +205,7 @@
 	if note == "" {
 		note = fmt.Sprintf("back to version %d", version)
 	}
-	return t.apply(ctx, r, base, earlier.Tree, note)
+	return t.apply(ctx, r, base, operate.WithKeysOf(earlier.Tree, base.Tree), note)
 }
 
 func (t *tool) applyFile(ctx context.Context, r *operate.Repository, name, note string) error {
--- a/host/operate/keys.go
+++ b/host/operate/keys.go
@@ -73,6 +73,19 @@
 	})
 }
 
+// WithKeysOf returns a tree whose accounts have the keys that they have in
+// current, none where current has no such account.
+func WithKeysOf(tree, current configuration.Tree) configuration.Tree {
+	tree = tree.Clone()
+	for p, settings := range tree.Branches {
+		delete(settings, settingKeys)
+		if keys := current.Branches[p][settingKeys]; keys != "" {
+			settings[settingKeys] = keys
+		}
+	}
+	return tree
+}
+
 // HashKey returns the hash of a key in the notation of the tree.
 func HashKey(key string) string { return configuration.FormatKey(sha256.Sum256([]byte(key))) }
 
