Show the state of a host in /metrics

Cause: readiness, authority, version, slots, requests in flight and servers out of use were in /status only, so that no alarm could be set on them. /metrics now asks the control loop once for each scrape, and says alive 0 where it does not answer. The tests of /metrics pass a loop, which they did without before.

--- a/host/telemetry/metrics.go
+++ b/host/telemetry/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
@@ -79,9 +80,13 @@
 
 func (m *metrics) close() error { return m.current.Load().closer.Close() }
 
-func (m *metrics) handler() http.Handler {
+// handler serves the current generation and the state of the host.
+func (m *metrics) handler(state prometheus.Collector) http.Handler {
+	host := prometheus.NewRegistry()
+	host.MustRegister(state)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		m.current.Load().handler.ServeHTTP(w, r)
+		all := prometheus.Gatherers{m.current.Load().registry, host}
+		promhttp.HandlerFor(all, promhttp.HandlerOpts{}).ServeHTTP(w, r)
 	})
 }
 
@@ -102,7 +107,7 @@
 	started    time.Time
 	scope      tally.Scope
 	closer     io.Closer
-	handler    http.Handler
+	registry   *prometheus.Registry
 	accounts   map[model.AccountID]struct{}
 	histograms map[histogramKey]tally.Histogram
 	counters   map[counterKey]tally.Counter
@@ -142,7 +147,7 @@
 		started:    time.Now(),
 		scope:      scope,
 		closer:     closer,
-		handler:    reporter.HTTPHandler(),
+		registry:   registry,
 		accounts:   make(map[model.AccountID]struct{}),
 		histograms: make(map[histogramKey]tally.Histogram),
 		counters:   make(map[counterKey]tally.Counter),
--- a/host/telemetry/operator.go
+++ b/host/telemetry/operator.go
@@ -44,7 +44,7 @@
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { o.serveLive(w, r, loop) })
 	mux.HandleFunc("GET /readyz", o.serveReady)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) { o.serveStatus(w, r, loop) })
-	mux.Handle("GET /metrics", o.metrics.handler())
+	mux.Handle("GET /metrics", o.metrics.handler(stateCollector{&o.queries, loop}))
 	return mux
 }
 
--- a/host/telemetry/telemetry_test.go
+++ b/host/telemetry/telemetry_test.go
@@ -23,6 +23,14 @@
 
 func (f loopFunc) Post(b event.Body) bool { return f(b) }
 
+// idle answers each query with an empty status.
+func idle(o *Observer) loopFunc {
+	return func(b event.Body) bool {
+		o.Observe(effect.ReportStatus{Query: b.(event.StatusRequested).Query})
+		return true
+	}
+}
+
 func get(o *Observer, loop Loop, path string) (int, string) {
 	w := httptest.NewRecorder()
 	o.Handler(loop).ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
@@ -66,7 +74,7 @@
 	})
 	c.Assert(lines[1], qt.Contains, `"kind":"server_ejected"`)
 
-	_, text := get(o, nil, "/metrics")
+	_, text := get(o, idle(o), "/metrics")
 	for _, want := range []string{
 		`pollensail_request_seconds_bucket{account="himal/north",class="mutation",le="0.001"} 0`,
 		`pollensail_request_seconds_bucket{account="himal/north",class="mutation",le="0.0025"} 1`,
@@ -104,7 +112,7 @@
 }
 
 // TestOperatorPort guards against a host that looks ready or alive when it is
-// not.
+// not, and against states that only /status shows, where no alarm sees them.
 func TestOperatorPort(t *testing.T) {
 	c := qt.New(t)
 	o, _, _ := newObserver(c)
@@ -113,7 +121,8 @@
 			Query: b.(event.StatusRequested).Query,
 			Status: effect.Status{
 				Host: model.HostRef{ID: "h", Incarnation: 1}, Authority: "connected", Version: 9,
-				Slots: []effect.SlotStatus{{Slot: model.SlotID{Domain: "d", Index: 2}, Term: 3, ExpiresIn: -5e6}},
+				Slots:   []effect.SlotStatus{{Slot: model.SlotID{Domain: "d", Index: 2}, Term: 3, ExpiresIn: -5e6}},
+				Servers: []effect.ServerStatus{{Service: "s", Server: "a", State: "ejected"}, {Service: "s", Server: "b", State: "ejected"}},
 			},
 		})
 		return true
@@ -132,13 +141,24 @@
 	c.Assert(json.Unmarshal([]byte(text), &status), qt.IsNil)
 	c.Assert(status, qt.DeepEquals, Status{
 		Host: "h", Incarnation: 1, Authority: "connected", Version: 9,
-		Slots:   []SlotStatus{{Domain: "d", Index: 2, Term: 3, ExpiresInMS: -5}},
-		Servers: []ServerStatus{}, Refusals: []RefusalCount{},
+		Slots:    []SlotStatus{{Domain: "d", Index: 2, Term: 3, ExpiresInMS: -5}},
+		Servers:  []ServerStatus{{"s", "a", "ejected"}, {"s", "b", "ejected"}},
+		Refusals: []RefusalCount{},
 	})
+	_, text = get(o, loop, "/metrics")
+	for _, line := range []string{
+		`alive 1`, `ready 0`, `authority{authority="connected"} 1`, `configuration_version 9`, `slots 1`,
+		`servers_out_of_use{service="s",state="ejected"} 2`,
+	} {
+		c.Check(text, qt.Contains, "\npollensail_"+line+"\n")
+	}
 
 	stuck := loopFunc(func(event.Body) bool { return true })
 	code, _ = get(o, stuck, "/livez")
 	c.Assert(code, qt.Equals, http.StatusServiceUnavailable)
+	code, text = get(o, stuck, "/metrics")
+	c.Assert(code, qt.Equals, http.StatusOK)
+	c.Assert(text, qt.Contains, "\npollensail_alive 0\n")
 }
 
 // TestConcurrentLines guards against lines that mix, get lost or race where
