Apply limits.connections and limits.answer_header

Cause: both were read and checked but never passed on. The callers' port took any number of connections, and the header of an answer was bounded by a constant of the same size as the default. Connections beyond the limit now wait in the backlog of the system, as on the operator port.

--- a/host/backend/backend_test.go
+++ b/host/backend/backend_test.go
@@ -24,6 +24,9 @@
 	"pollensail.dev/host/socket"
 )
 
+// maxHeader is less than the default, so that the option has to count.
+const maxHeader = 4 << 10
+
 // script is what a fake server does with one connection.
 type script func(s *fakeServer, conn *net.TCPConn, in *bufio.Reader)
 
@@ -195,7 +198,7 @@
 		{name: "shed but cut", script: breaking("HTTP/1.1 503 Busy\r\nPollensail-Shed: not-run\r\nContent-Length: 5\r\n\r\nno"), reason: model.ReasonBadAnswer},
 		{name: "switching protocols", script: breaking("HTTP/1.1 101 Switching\r\n\r\n"), reason: model.ReasonBadAnswer},
 		{name: "no HTTP", script: breaking("220 mail ready\r\n\r\n"), reason: model.ReasonBadAnswer},
-		{name: "header too large", script: breaking(ok + "X: " + strings.Repeat("x", headerLimit) + "\r\n\r\n"), reason: model.ReasonBadAnswer},
+		{name: "header too large", script: breaking(ok + "X: " + strings.Repeat("x", maxHeader) + "\r\n\r\n"), reason: model.ReasonBadAnswer},
 		{name: "late", timeout: soon, script: answering(""), reason: model.ReasonTimedOut},
 		{name: "body late", timeout: soon, script: answering(ok + "Content-Length: 3\r\n\r\nok"), reason: model.ReasonTimedOut},
 	}
@@ -203,7 +206,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			server := startFake(c, test.script)
-			transport := newTransport(c, Options{})
+			transport := newTransport(c, Options{MaxHeader: maxHeader})
 			a := testAttempt(transport.clock, server.id, cmp.Or(test.timeout, ample))
 			if test.method != "" {
 				a.Request.Header.SetMethod(test.method)
--- a/host/backend/conn.go
+++ b/host/backend/conn.go
@@ -11,19 +11,12 @@
 	"pollensail.dev/host/socket"
 )
 
-// headerLimit bounds the header of an answer, in bytes: it has to fit the
-// read buffer.
-const headerLimit = 16 << 10
-
-// readers are the read buffers of connections in use. An idle connection
-// needs none.
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headerLimit) }}
-
 // conn is a connection to a backend server. One goroutine uses it at a time.
 type conn struct {
 	server    model.ServerID
 	tcp       *net.TCPConn
 	raw       syscall.RawConn
+	readers   *sync.Pool    // of the transport
 	reader    *bufio.Reader // nil while idle
 	idleSince time.Time
 
@@ -32,14 +25,14 @@
 	out    net.Buffers
 }
 
-func newConn(server model.ServerID, tcp *net.TCPConn) *conn {
-	c := &conn{server: server, tcp: tcp, raw: socket.Of(tcp)}
+func newConn(server model.ServerID, tcp *net.TCPConn, readers *sync.Pool) *conn {
+	c := &conn{server: server, tcp: tcp, raw: socket.Of(tcp), readers: readers}
 	c.attachReader()
 	return c
 }
 
 func (c *conn) attachReader() {
-	c.reader = readers.Get().(*bufio.Reader)
+	c.reader = c.readers.Get().(*bufio.Reader)
 	c.reader.Reset(c.tcp)
 }
 
@@ -47,7 +40,7 @@
 // may refer to it.
 func (c *conn) detachReader() {
 	c.reader.Reset(nil)
-	readers.Put(c.reader)
+	c.readers.Put(c.reader)
 	c.reader = nil
 }
 
--- a/host/backend/transport.go
+++ b/host/backend/transport.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	// IdlePerServer is how many unused connections are kept for each server.
 	// Default 4.
 	IdlePerServer int
+	// MaxHeader bounds the header of an answer, in bytes. Default 16 KiB.
+	MaxHeader int
 }
 
 func (o Options) withDefaults() Options {
@@ -39,6 +42,9 @@
 	if o.IdlePerServer <= 0 {
 		o.IdlePerServer = 4
 	}
+	if o.MaxHeader <= 0 {
+		o.MaxHeader = 16 << 10
+	}
 	return o
 }
 
@@ -47,6 +53,9 @@
 type Transport struct {
 	clock   Clock
 	options Options
+	// readers are the read buffers of connections in use. An idle connection
+	// needs none. A header has to fit in one.
+	readers sync.Pool
 
 	mu     sync.Mutex
 	idle   map[model.ServerID][]*conn // in the order of their last use
@@ -56,11 +65,13 @@
 
 // New returns a transport without connections.
 func New(clock Clock, options Options) *Transport {
-	return &Transport{
+	t := &Transport{
 		clock:   clock,
 		options: options.withDefaults(),
 		idle:    map[model.ServerID][]*conn{},
 	}
+	t.readers.New = func() any { return bufio.NewReaderSize(nil, t.options.MaxHeader) }
+	return t
 }
 
 // Close closes the idle connections and keeps none from now on. Running
@@ -94,5 +105,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(server, c.(*net.TCPConn)), nil
+	return newConn(server, c.(*net.TCPConn), &t.readers), nil
 }
--- a/host/frontend/frontend.go
+++ b/host/frontend/frontend.go
@@ -15,6 +15,7 @@
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/model"
 	"pollensail.dev/host/backend"
+	"pollensail.dev/host/socket"
 )
 
 // Loop is the control loop. *control.Loop implements it.
@@ -31,6 +32,9 @@
 
 // Options are the limits of a Frontend. Zero values mean the defaults.
 type Options struct {
+	// Connections bounds the open connections; more wait in the backlog of the
+	// system. Default 10,000.
+	Connections int
 	// MaxHeader bounds the header of a request, in bytes. Default 8 KiB.
 	MaxHeader int
 	// MaxBody bounds the body of a request, in bytes. Default 4 MiB.
@@ -46,6 +50,7 @@
 }
 
 func (o Options) withDefaults() Options {
+	setDefault(&o.Connections, 10000)
 	setDefault(&o.MaxHeader, 8<<10)
 	setDefault(&o.MaxBody, 4<<20)
 	setDefault(&o.ReadTimeout, 10*time.Second)
@@ -123,7 +128,7 @@
 
 // Serve serves the callers of a listener until Shutdown.
 func (f *Frontend) Serve(ln net.Listener) error {
-	return f.server.Serve(listener{ln, f.options.WriteTimeout})
+	return f.server.Serve(listener{socket.Limit(ln, f.options.Connections), f.options.WriteTimeout})
 }
 
 // BeginStop ends keep-alive: each connection closes after its next answer.
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -50,7 +50,10 @@
 		return nil, err
 	}
 	loop := control.New()
-	transport := backend.New(loop, backend.Options{DialTimeout: time.Duration(s.Limits.DialTimeout)})
+	transport := backend.New(loop, backend.Options{
+		DialTimeout: time.Duration(s.Limits.DialTimeout),
+		MaxHeader:   int(s.Limits.AnswerHeader),
+	})
 	p := &Process{
 		settings:  s,
 		logger:    logger,
@@ -66,6 +69,7 @@
 
 func frontendOptions(l settings.Limits) frontend.Options {
 	return frontend.Options{
+		Connections:  l.Connections,
 		MaxHeader:    int(l.RequestHeader),
 		MaxBody:      int(l.RequestBody),
 		ReadTimeout:  time.Duration(l.ReadTimeout),
--- a/host/process/process_test.go
+++ b/host/process/process_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"bufio"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -11,6 +12,7 @@
 	"fmt"
 	"io"
 	"math/big"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -133,14 +135,19 @@
 	return p
 }
 
+// run runs a process until the test ends.
+func run(c *qt.C, p *Process) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx, ctx) }()
+	c.Cleanup(func() { cancel(); c.Check(<-done, qt.Equals, ErrCutShort) })
+}
+
 // start runs a host until the test ends and has the platform list it.
 func (p platform) start(c *qt.C, a authority, host, domain string) *Process {
 	process, err := create(c, a.settings(c, host, domain, p.address))
 	c.Assert(err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- process.Run(ctx, ctx) }()
-	c.Cleanup(func() { cancel(); c.Check(<-done, qt.Equals, ErrCutShort) })
+	run(c, process)
 	entry := fmt.Sprintf(`{"id":%q,"role":"entry","domain":%q,"peer":%q}`, host, domain, process.listeners.peer.Addr())
 	p.send(c, http.MethodPut, "http://"+p.address+"/v1/hosts/"+host, entry)
 	return process
@@ -209,3 +216,36 @@
 		c.Check(err, qt.ErrorMatches, tc.want)
 	}
 }
+
+// TestConnectionsLimited guards against a limit of callers' connections that
+// the process does not apply.
+func TestConnectionsLimited(t *testing.T) {
+	c := qt.New(t)
+	text := newAuthority(c).settings(c, "h1", "a", "127.0.0.1:1") + "limits = {connections = 1}\n"
+	host, err := create(c, text)
+	c.Assert(err, qt.IsNil)
+	run(c, host)
+	first, second := dial(c, host), dial(c, host)
+	c.Assert(readStatus(first, patience), qt.Contains, "503") // no configuration is in force
+	c.Assert(readStatus(second, 200*time.Millisecond), qt.Equals, "")
+	c.Assert(first.Close(), qt.IsNil)
+	c.Assert(readStatus(second, patience), qt.Contains, "503")
+}
+
+// dial opens a caller's connection and sends a request.
+func dial(c *qt.C, host *Process) net.Conn {
+	conn, err := net.Dial("tcp", host.listeners.caller.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	return conn
+}
+
+// readStatus returns the first line of an answer, empty when it does not come
+// in time.
+func readStatus(conn net.Conn, timeout time.Duration) string {
+	_ = conn.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return line
+}
--- a/host/telemetry/limit.go
+++ b/host/socket/limit.go
@@ -1,13 +1,14 @@
-package telemetry
+package socket
 
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
-// limit returns a listener with at most n open connections; more wait in the
+// Limit returns a listener with at most n open connections; more wait in the
 // backlog of the system.
-func limit(l net.Listener, n int) net.Listener {
+func Limit(l net.Listener, n int) net.Listener {
 	return &limitedListener{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
@@ -49,3 +50,12 @@
 	c.release()
 	return c.Conn.Close()
 }
+
+// SyscallConn implements syscall.Conn, so that Of knows the connection.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return inner.SyscallConn()
+}
--- a/host/socket/socket.go
+++ b/host/socket/socket.go
@@ -1,4 +1,5 @@
-// Package socket looks at connections without reading from them.
+// Package socket looks at connections without reading from them, and bounds how
+// many are open.
 package socket
 
 import (
--- a/host/telemetry/operator.go
+++ b/host/telemetry/operator.go
@@ -10,6 +10,7 @@
 
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/socket"
 )
 
 // The bounds of the operator port.
@@ -31,7 +32,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
-	err := server.Serve(limit(listener, operatorConnections))
+	err := server.Serve(socket.Limit(listener, operatorConnections))
 	if errors.Is(err, http.ErrServerClosed) {
 		return ctx.Err()
 	}
