Log requests by the id that their callers see

Cause: callers got Pollensail-Request-Id-a and the log had request 10, without the part that tells processes apart, so that a caller's question could not be matched with a line. The expected line in the test of the log changes with it.

--- a/host/frontend/frontend.go
+++ b/host/frontend/frontend.go
@@ -157,6 +157,11 @@
 
 // nextID returns a new request id and its form in header fields.
 func (f *Frontend) nextID() (model.RequestID, string) {
-	id := f.lastID.Add(1)
-	return model.RequestID(id), f.idPrefix + strconv.FormatUint(id, 16)
+	id := model.RequestID(f.lastID.Add(1))
+	return id, f.RequestName(id)
+}
+
+// RequestName returns a request's id as callers and backend servers see it.
+func (f *Frontend) RequestName(id model.RequestID) string {
+	return f.idPrefix + strconv.FormatUint(uint64(id), 16)
 }
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -130,7 +130,7 @@
 	})
 	platform := store.NewHTTP(string(p.settings.Store.Address))
 	timeout := time.Duration(p.settings.Store.Timeout)
-	p.observer = telemetry.New(logger, p.sources(peers)...)
+	p.observer = telemetry.New(logger, p.frontend.RequestName, p.sources(peers)...)
 	p.loop.Connect(control.Adapters{
 		Traffic:  traffic{p.frontend, p.loop},
 		Peers:    peers,
--- a/host/telemetry/bench_test.go
+++ b/host/telemetry/bench_test.go
@@ -15,7 +15,7 @@
 func BenchmarkRecord(b *testing.B) {
 	before := heap()
 	logger := NewLogger(io.Discard, "info")
-	o := New(&logger.Logger)
+	o := New(&logger.Logger, requestName)
 	outcomes := make([]effect.Record, MaxAccounts)
 	for i := range outcomes {
 		r := outcome
--- a/host/telemetry/telemetry_test.go
+++ b/host/telemetry/telemetry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -37,10 +38,12 @@
 	return w.Code, w.Body.String()
 }
 
+func requestName(id model.RequestID) string { return "p-" + strconv.FormatUint(uint64(id), 16) }
+
 func newObserver(c *qt.C, sources ...Source) (*Observer, *bytes.Buffer, func()) {
 	var output bytes.Buffer
 	logger := NewLogger(&output, "info")
-	o := New(&logger.Logger, sources...)
+	o := New(&logger.Logger, requestName, sources...)
 	c.Cleanup(func() { o.Close() })
 	return o, &output, func() { c.Assert(logger.Close(), qt.IsNil) }
 }
@@ -68,7 +71,7 @@
 	c.Assert(json.Unmarshal([]byte(lines[0]), &line), qt.IsNil)
 	delete(line, "time")
 	c.Assert(line, qt.DeepEquals, map[string]any{
-		"level": "info", "message": "request", "request": 7.0, "account": "himal/north",
+		"level": "info", "message": "request", "request": "p-7", "account": "himal/north",
 		"route": "rings", "service": "filing", "server": "127.0.0.1:1", "class": "mutation",
 		"verdict": "ran", "result": "delivered", "reason": "", "attempts": 1.0, "latency_ms": 1.5,
 	})
