--- a/host/process/process.go
+++ b/host/process/process.go
@@ -42,12 +42,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := identity.Check(s.Host); err != nil {
+		return nil, merry.Prependf(err, "tls.certificate %s", s.TLS.Certificate)
+	}
 	l, err := listen(s.Listen)
 	if err != nil {
 		return nil, err
 	}
 	loop := control.New()
-	transport := backend.New(loop, backend.Options{DialTimeout: time.Duration(s.Limits.DialTimeout)})
+	transport := backend.New(loop, backend.Options{
+		DialTimeout: time.Duration(s.Limits.DialTimeout),
+		MaxHeader:   int(s.Limits.AnswerHeader),
+	})
 	p := &Process{
 		settings:  s,
 		logger:    logger,
@@ -63,6 +69,7 @@
 
 func frontendOptions(l settings.Limits) frontend.Options {
 	return frontend.Options{
+		Connections:  l.Connections,
 		MaxHeader:    int(l.RequestHeader),
 		MaxBody:      int(l.RequestBody),
 		ReadTimeout:  time.Duration(l.ReadTimeout),
@@ -79,26 +86,32 @@
 	return uint64(time.Now().UnixMilli())<<16 | uint64(binary.LittleEndian.Uint16(chance[:]))
 }
 
+// ErrCutShort says that a process ended before its planned stop was complete.
+var ErrCutShort = errors.New("ended before the planned stop was complete: requests in flight were cut off, slots were not handed over")
+
 // Run serves until stop ends, which begins a planned stop, or until ctx ends,
-// which ends the process at once. It returns nil after a planned stop.
+// which ends the process at once. It returns nil after a planned stop and
+// ErrCutShort where ctx ended.
 func (p *Process) Run(ctx, stop context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	running, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	p.connect(ctx, group)
+	group, running := errgroup.WithContext(running)
+	p.connect(running, group)
 	p.logStart()
-	closeCallers := context.AfterFunc(ctx, func() { p.listeners.caller.Close() })
-	defer closeCallers()
-	group.Go(func() error { return p.serveCallers() })
-	group.Go(func() error { return p.observer.Serve(ctx, p.listeners.operator, p.loop) })
-	group.Go(func() error { return p.awaitStop(ctx, stop) })
+	group.Go(func() error { return p.serveCallers(running) })
+	group.Go(func() error { return p.observer.Serve(running, p.listeners.operator, p.loop) })
+	group.Go(func() error { return p.awaitStop(running, stop) })
 	group.Go(func() error {
 		defer cancel()
-		return p.runLoop(ctx)
+		return p.runLoop(running)
 	})
 	err := group.Wait()
 	p.transport.Close()
-	if errors.Is(err, context.Canceled) {
+	switch {
+	case ctx.Err() != nil:
+		return ErrCutShort
+	case errors.Is(err, context.Canceled):
+		p.logger.Info().Msg("planned stop complete")
 		return nil
 	}
 	return err
@@ -118,7 +131,7 @@
 	})
 	platform := store.NewHTTP(string(p.settings.Store.Address))
 	timeout := time.Duration(p.settings.Store.Timeout)
-	p.observer = telemetry.New(logger, peers.Sources()...)
+	p.observer = telemetry.New(logger, p.frontend.RequestName, p.sources(peers)...)
 	p.loop.Connect(control.Adapters{
 		Traffic:  traffic{p.frontend, p.loop},
 		Peers:    peers,
@@ -132,6 +145,22 @@
 	group.Go(func() error { return hosts.Run(ctx) })
 }
 
+// sources are the counts of the adapters for /metrics.
+func (p *Process) sources(peers *peer.Peers) []telemetry.Source {
+	return append(peers.Sources(),
+		telemetry.Source{
+			Name: "requests_unread_total",
+			Help: "Requests refused unread: malformed, too large or too slow.",
+			Read: func() float64 { return float64(p.frontend.Rejected()) },
+		},
+		telemetry.Source{
+			Name: "log_lines_lost_total",
+			Help: "Log lines that the output did not take in time.",
+			Read: func() float64 { return float64(p.logger.Lost()) },
+		},
+	)
+}
+
 func (p *Process) logStart() {
 	p.logger.Info().
 		Str("host", p.self.String()).
@@ -152,8 +181,12 @@
 	})
 }
 
-func (p *Process) serveCallers() error {
-	if err := p.frontend.Serve(p.listeners.caller); err != nil {
+// serveCallers serves until the callers' port is closed, by a planned stop or
+// with ctx.
+func (p *Process) serveCallers(ctx context.Context) error {
+	end := context.AfterFunc(ctx, func() { p.listeners.caller.Close() })
+	defer end()
+	if err := p.frontend.Serve(p.listeners.caller); err != nil && ctx.Err() == nil {
 		return merry.Prepend(err, "callers' port")
 	}
 	return nil
--- a/host/telemetry/operator.go
+++ b/host/telemetry/operator.go
@@ -10,6 +10,7 @@
 
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/socket"
 )
 
 // The bounds of the operator port.
@@ -31,7 +32,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
-	err := server.Serve(limit(listener, operatorConnections))
+	err := server.Serve(socket.Limit(listener, operatorConnections))
 	if errors.Is(err, http.ErrServerClosed) {
 		return ctx.Err()
 	}
@@ -44,7 +45,7 @@
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { o.serveLive(w, r, loop) })
 	mux.HandleFunc("GET /readyz", o.serveReady)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) { o.serveStatus(w, r, loop) })
-	mux.Handle("GET /metrics", o.metrics.handler())
+	mux.Handle("GET /metrics", o.metrics.handler(stateCollector{&o.queries, loop}))
 	return mux
 }
 
