Try another server after a server error on idempotent routes; queue beyond a token's time

Cause: a whole answer with status 500 was passed on, though the design says that idempotent routes are retried on failure within the budget; and a queued idempotent request was refused at its token's expiry although it gets a new token.

--- a/decision/request.go
+++ b/decision/request.go
@@ -184,16 +184,32 @@
 	if e.Result.Verdict != model.NotRun {
 		r.verdict = e.Result.Verdict
 	}
-	if e.Result.Reason == "" && !e.Result.Shed {
-		s.deliver(r, e.Result)
-		return
+	if reachedServer(e.Result) {
+		r.notAfter = model.Never // the token was used in time
 	}
-	if s.mayRetry(r, e.Result) {
+	isAnswer := e.Result.Reason == "" && !e.Result.Shed
+	switch {
+	case isAnswer && !isServerError(e.Result):
+		s.deliver(r, e.Result)
+	case s.mayRetry(r, e.Result):
 		r.stage = stagePlace
 		s.advance(r)
-		return
+	case isAnswer:
+		s.deliver(r, e.Result)
+	default:
+		s.refuse(r, attemptReason(e.Result), 0)
 	}
-	s.refuse(r, attemptReason(e.Result), 0)
+}
+
+// reachedServer reports whether the attempt was sent.
+func reachedServer(result model.AttemptResult) bool {
+	return result.Shed || result.Verdict != model.NotRun
+}
+
+// isServerError reports whether the server answered that it failed. Another
+// server may succeed.
+func isServerError(result model.AttemptResult) bool {
+	return result.Status >= 500 && result.Status <= 504 && result.Status != 501 && !result.Streaming
 }
 
 // mayRetry reports whether another attempt is both safe and affordable.
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -65,7 +65,7 @@
 		Account:  r.account,
 		Weight:   1,
 		Deadline: r.deadline,
-		NotAfter: r.notAfter,
+		NotAfter: queueUntil(r),
 	}
 	if account, ok := s.snapshot.Accounts[r.account]; ok {
 		w.Weight = max(account.Weight, 1)
@@ -140,8 +140,17 @@
 }
 
 func isRetried(result model.AttemptResult) bool {
-	if result.Shed {
+	if result.Shed || isServerError(result) {
 		return true
 	}
 	return result.Reason == model.ReasonServerFailed || result.Reason == model.ReasonBadAnswer
 }
+
+// queueUntil returns until when the request may wait for a server beside its
+// deadline. An idempotent one gets a new token when its own runs out.
+func queueUntil(r *request) model.Instant {
+	if r.route.Idempotent {
+		return model.Never
+	}
+	return r.notAfter
+}
