Read the host list at most 50 times a second over the fleet

At 650 hosts a read a second each would take a third of the platform's 2,000 reads; today's 40 hosts read as before.

--- a/host/store/hostlist.go
+++ b/host/store/hostlist.go
@@ -11,8 +11,25 @@
 	"pollensail.dev/decision/model"
 )
 
-// hostListPeriod is the time between two reads of the host list.
-const hostListPeriod = time.Second
+const (
+	// hostListPeriod is the shortest time between two reads of the host list.
+	hostListPeriod = time.Second
+	// fleetListReads bounds the reads a second of all hosts together, because
+	// the platform's rates grow more slowly than the fleet. Leaving servers
+	// spread through heartbeats after the first read.
+	fleetListReads = 50
+)
+
+// listPeriod returns the time from one read of the list to the next.
+func listPeriod(entries []model.HostEntry) time.Duration {
+	hosts := 0
+	for _, e := range entries {
+		if e.Role == model.RoleEntry {
+			hosts++
+		}
+	}
+	return max(hostListPeriod, time.Duration(hosts)*time.Second/fleetListReads)
+}
 
 // HostList reads the platform's host list once a period and posts each answer.
 // The reducer hears nothing while the list cannot be read; the log says when
@@ -29,35 +46,37 @@
 
 // Run reads until ctx ends, which it returns.
 func (h HostList) Run(ctx context.Context) error {
-	ticker := time.NewTicker(hostListPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(hostListPeriod)
+	defer timer.Stop()
 	var last error
 	for {
-		err := h.read(ctx)
+		period, err := h.read(ctx)
+		timer.Reset(period)
 		if ctx.Err() == nil {
 			h.logChange(last, err)
 			last = err
 		}
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (h HostList) read(ctx context.Context) error {
+// read posts the list and returns when to read it again.
+func (h HostList) read(ctx context.Context) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
 	defer cancel()
 	entries, err := h.Store.HostList(ctx)
 	if err != nil {
-		return err
+		return hostListPeriod, err
 	}
 	if h.Listed != nil {
 		h.Listed(entries)
 	}
 	h.Loop.Post(event.HostsListed{Entries: entries})
-	return nil
+	return listPeriod(entries), nil
 }
 
 // logChange logs the first failure in a row and its end. A host without a
