Name the cause when the host list cannot be read

Cause: the line gave only the kind of the error, without the address and what the connection said: "store: unavailable, a write may have taken effect".

--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -64,7 +64,7 @@
 func TestSecondSignal(t *testing.T) {
 	c := qt.New(t)
 	cmd, lines := start(c, whole)
-	awaitLine(c, lines, "host list cannot be read")
+	awaitLine(c, lines, "connection refused\",\"message\":\"host list cannot be read")
 	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	awaitLine(c, lines, "planned stop begins")
 	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
--- a/host/store/hostlist.go
+++ b/host/store/hostlist.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/phuslu/log"
 
 	"pollensail.dev/decision/event"
@@ -67,7 +68,7 @@
 	case errors.Is(err, ErrBroken) && !errors.Is(last, ErrBroken):
 		h.Log.Error().Err(err).Msg("host list is broken")
 	case err != nil && last == nil:
-		h.Log.Warn().Err(err).Msg("host list cannot be read")
+		h.Log.Warn().Err(err).AnErr("cause", merry.Cause(err)).Msg("host list cannot be read")
 	case err == nil && last != nil:
 		h.Log.Info().Msg("host list is read again")
 	}
