--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -23,6 +23,10 @@
 	// LostAnswers is how many of the next writes take effect although their
 	// connection is cut; negative for all.
 	LostAnswers int `json:"lost_answers"`
+	// LostKey is the key whose writes lose their answers; empty: all keys and
+	// leases. Hosts renew their slots all the time, so a count without a key does
+	// not tell whose answers are lost.
+	LostKey string `json:"lost_key"`
 	// DelayMillis delays every request before it takes effect. A write whose
 	// sender gave up meanwhile takes effect nevertheless.
 	DelayMillis int `json:"delay_ms"`
@@ -44,10 +48,13 @@
 	return s.faults, s.faultsChanged
 }
 
-// loseAnswer reports whether the answer to a write is to be lost.
-func (s *Server) loseAnswer() bool {
+// loseAnswer reports whether the answer to a write of a key is to be lost.
+func (s *Server) loseAnswer(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.LostKey != "" && s.faults.LostKey != key {
+		return false
+	}
 	if s.faults.LostAnswers > 0 {
 		s.faults.LostAnswers--
 		return true
--- a/standin/kv/leases.go
+++ b/standin/kv/leases.go
@@ -47,7 +47,7 @@
 		return
 	}
 	taken := s.leases.take(r.PathValue("name"), ask.Holder, time.Duration(ask.TTLMillis)*time.Millisecond)
-	if s.loseAnswer() {
+	if s.loseAnswer(r.PathValue("name")) {
 		panic(http.ErrAbortHandler)
 	}
 	if !taken {
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -138,7 +138,7 @@
 		return
 	}
 	e, ok := s.values.swap(r.PathValue("key"), version, value)
-	if s.loseAnswer() {
+	if s.loseAnswer(r.PathValue("key")) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("ETag", etag(e.version))
