End the process on a second signal

The goroutine that serves callers did not end with the context, so that after a second SIGTERM, or when another port failed, the process stayed and refused all requests. Before: alive 20 s after the second signal, with each request answered 503 stopping. After: ends at once.

--- a/host/process/process.go
+++ b/host/process/process.go
@@ -87,7 +87,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	p.connect(ctx, group)
 	p.logStart()
-	group.Go(func() error { return p.serveCallers() })
+	group.Go(func() error { return p.serveCallers(ctx) })
 	group.Go(func() error { return p.observer.Serve(ctx, p.listeners.operator, p.loop) })
 	group.Go(func() error { return p.awaitStop(ctx, stop) })
 	group.Go(func() error {
@@ -161,7 +161,11 @@
 	})
 }
 
-func (p *Process) serveCallers() error {
+// serveCallers serves until the planned stop closes the port or ctx ends,
+// which does not wait for requests.
+func (p *Process) serveCallers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { p.listeners.caller.Close() })
+	defer stop()
 	if err := p.frontend.Serve(p.listeners.caller); err != nil {
 		return merry.Prepend(err, "callers' port")
 	}
