Make keys of hexadecimal digits

One key in 64 began with '-', and pollenctl key withdraw took it for a flag and refused it. Before: exit code 2, 'unknown shorthand flag', the key stays valid. After: keys are digits and a to f.

--- a/host/operate/apply_test.go
+++ b/host/operate/apply_test.go
@@ -157,7 +157,8 @@
 	c.Assert(entries, qt.HasLen, operators*each+1)
 }
 
-// TestWithdrawKey guards against a withdrawn key that stays in the tree, by
+// TestWithdrawKey guards against a key that a command line takes for a flag, and
+// a withdrawn key that stays in the tree, by
 // whichever name the operator gives it.
 func TestWithdrawKey(t *testing.T) {
 	for _, byHash := range []bool{false, true} {
@@ -165,6 +166,7 @@
 		r, _ := newSampleRepository(c)
 		grant, err := r.GrantKey(context.Background(), "institutes/ntnu", "op")
 		c.Assert(err, qt.IsNil)
+		c.Assert(grant.Key, qt.Matches, "[0-9a-f]{64}")
 		name := grant.Key
 		if byHash {
 			name = grant.Hash
--- a/host/operate/keys.go
+++ b/host/operate/keys.go
@@ -4,7 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
-	"encoding/base64"
+	"encoding/hex"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -84,10 +84,12 @@
 	return HashKey(keyOrHash)
 }
 
+// newKey returns a key in hexadecimal digits. A key that may begin with "-" would
+// be taken for a flag by key withdraw.
 func newKey() string {
 	random := make([]byte, keySize)
 	rand.Read(random)
-	return base64.RawURLEncoding.EncodeToString(random)
+	return hex.EncodeToString(random)
 }
 
 func accountKeys(tree configuration.Tree, account model.AccountID) (configuration.Path, string, error) {
