--- a/host/operate/apply_test.go
+++ b/host/operate/apply_test.go
@@ -158,8 +158,8 @@
 }
 
 // TestWithdrawKey guards against a key that a command line takes for a flag, and
-// a withdrawn key that stays in the tree, by
-// whichever name the operator gives it.
+// a withdrawn key that stays in the tree, by whichever name the operator gives
+// it.
 func TestWithdrawKey(t *testing.T) {
 	for _, byHash := range []bool{false, true} {
 		c := qt.New(t)
