--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Packages whose tests run under the race detector in CI: the control loop and the adapters.
 RACE = $(shell go list ./host/...)
 
-.PHONY: all build build-standin test race lint fmt demo measure
+.PHONY: all build build-standin test race lint fmt demo latency measure
 
 all: build
 
@@ -41,3 +41,6 @@
 
 measure:
 	go run ./standin/cmd/measure --out out
+
+latency: build build-standin
+	demo/latency
