Hand the coordinator's state over with its slot; count its quiet time from the takeover

Cause: a coordinator of a later term ejects nothing new for 22 s, because sets of a lost one may be in force; it was made at the first report, so the first gray failure after any change of owner, planned or not, waited 22 s. The time now counts from when the host got the slot, and a handover carries what is published, so that nothing waits.

--- a/decision/health/coordinator.go
+++ b/decision/health/coordinator.go
@@ -39,14 +39,16 @@
 	atFloor    bool
 }
 
+// Quiet is how long the sets of a lost coordinator may be in force somewhere.
+const Quiet = linger
+
 // NewCoordinator returns the coordinator of a term. inherited is the set in
-// force at its host. Unless this is the first term, hosts may hold other sets
-// of the coordinator before; those expire before this one ejects any server
-// that it did not inherit.
-func NewCoordinator(now model.Instant, term uint64, isFirst bool, inherited message.EjectionSet) *Coordinator {
+// force at its host. Until quietUntil hosts may hold other sets of a lost
+// coordinator; before, this one ejects no server that it did not inherit.
+func NewCoordinator(now model.Instant, term uint64, quietUntil model.Instant, inherited message.EjectionSet) *Coordinator {
 	c := &Coordinator{
 		term:       term,
-		quietUntil: now,
+		quietUntil: quietUntil,
 		domains:    make(map[model.DomainID]int),
 		reporters:  make(reporters),
 		suspects:   make(map[model.ServerID]*suspect),
@@ -54,9 +56,6 @@
 		decideAt:   model.Never,
 		publishAt:  model.Never,
 	}
-	if !isFirst {
-		c.quietUntil = now.Add(linger)
-	}
 	c.inherit(now, inherited)
 	return c
 }
--- a/decision/limits_slots.go
+++ b/decision/limits_slots.go
@@ -68,9 +68,11 @@
 	if r.Offer != nil {
 		s.limits.owner.Restore(r.OfferedAt, r.Slot, r.Term, *r.Offer)
 		s.restoreClaims(*r.Offer)
+		s.restoreEjections(*r.Offer, r.Term)
 	} else {
 		s.limits.owner.Begin(s.now, r.Slot, r.Term, r.Term == 1)
 		s.beginClaims(r.Slot, r.Term)
+		s.beginEjections(r.Slot, r.Term)
 	}
 	s.announce(r.Slot, r.Term)
 	s.notice(effect.NoticeSlotAcquired, slotTerm(r.Slot, r.Term))
@@ -79,6 +81,7 @@
 func (s *State) slotLost(r slot.Lost) {
 	s.limits.owner.End(r.Slot)
 	s.slotClaimsLost(r.Slot)
+	s.endEjections(r.Slot)
 	kind := effect.NoticeSlotLost
 	if r.HandedOver {
 		kind = effect.NoticeSlotHandedOver
@@ -97,6 +100,7 @@
 func (s *State) fillOffer(offer *message.HandoverOffer) {
 	s.limits.owner.Freeze(s.now, offer.Slot, offer, s.shareOf(offer.Slot))
 	s.freezeClaims(offer)
+	s.freezeEjections(offer)
 }
 
 // slotOwner returns the newest known owner of a slot. It reports false when
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -235,6 +235,21 @@
 	Conflict bool
 }
 
+// EjectionState is what the coordinator of a service hands over.
+type EjectionState struct {
+	Set EjectionSet // its servers; term and sequence are the next owner's
+	// Published are the servers of all sets that may be in force at a host.
+	Published []ServerAge
+	// Quiet is what is left of the time in which unknown sets may be in force.
+	Quiet time.Duration
+}
+
+// ServerAge says how long ago a server was last part of a published set.
+type ServerAge struct {
+	Server model.ServerID
+	Age    time.Duration
+}
+
 // HandoverOffer carries the complete state of a slot to its successor. The
 // sender has frozen the slot before it sends.
 type HandoverOffer struct {
@@ -245,8 +260,12 @@
 	// ZeroAge is the time since buckets that are not listed were empty;
 	// negative when they were full from the start.
 	ZeroAge time.Duration
-	Buckets []BucketState
-	Claims  []ClaimState
+	// Ejections are the services that the slot coordinates and that had
+	// reports; EjectionsQuiet is EjectionState.Quiet for all others.
+	Ejections      []EjectionState
+	EjectionsQuiet time.Duration
+	Buckets        []BucketState
+	Claims         []ClaimState
 	// ClaimsSince is the wall clock at the start of the term from which on
 	// Claims are complete; 0 when nothing was ever lost.
 	ClaimsSince model.WallTime
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -44,6 +44,9 @@
 	// ownership replaces the slot owners of this host's own knowledge in
 	// tests; nil otherwise.
 	ownership slotOwnership
+	// quiet is, for each owned slot, until when sets of a lost coordinator may
+	// be in force somewhere.
+	quiet map[model.SlotID]model.Instant
 }
 
 // ejections are the servers of a service that get no ordinary work.
@@ -55,6 +58,7 @@
 func newServerState() serverState {
 	return serverState{
 		roster:       placement.NewRoster(),
+		quiet:        make(map[model.SlotID]model.Instant),
 		pools:        make(map[model.ServiceID]*placement.Pool),
 		listed:       make(map[model.ServiceID][]model.ServerID),
 		members:      make(map[model.ServiceID][]model.ServerID),
--- a/decision/servers_eject.go
+++ b/decision/servers_eject.go
@@ -38,8 +38,7 @@
 	if ok && c.Term() == term {
 		return c
 	}
-	isFirst := term == firstTerm && !s.servers.slotsChanged
-	c = health.NewCoordinator(s.now, term, isFirst, s.servers.sets.InForce(s.now, id))
+	c = health.NewCoordinator(s.now, term, s.quietUntil(id, term), s.servers.sets.InForce(s.now, id))
 	s.servers.coordinators[id] = c
 	return c
 }
