--- a/standin/measure/experiments.go
+++ b/standin/measure/experiments.go
@@ -16,6 +16,7 @@
 	slots   int
 	work    time.Duration
 	rate    float64 // ordinary load on the service, requests a second
+	slow    int     // servers of a second service
 }
 
 // Sites are the users. The ordinary load keeps a fifth to a quarter of the
@@ -82,19 +83,20 @@
 func newRun(v variant, s site, seed uint64, accounts []account) *run {
 	r := &run{accounts: accounts}
 	if v.isProduct {
-		r.product = newProduct(seed, s.hosts, line, tree(accounts, s.servers, s.slots))
+		r.product = newProduct(seed, s.hosts, line, tree(accounts, s))
 		r.clock = r.product.fleet
 	} else {
 		r.clock = fleettest.New(fleettest.Options{Seed: seed})
 		r.plain = newPlain(r.clock, seed, s.hosts, accounts, v.detector)
 	}
-	r.servers = newServers(r.clock, seed, s.servers, s.slots, s.work)
+	r.servers = newServers(r.clock, seed, s.servers+s.slow, s.slots, s.work)
 	r.load = &load{clock: r.clock, rand: rand.New(rand.NewPCG(seed, 3)), accounts: accounts, hosts: anyHost(s.hosts)}
 	if v.isProduct {
 		r.product.servers = r.servers
 		r.load.policy = r.product
 	} else {
 		r.plain.servers = r.servers
+		r.plain.slow = s.slow
 		r.load.policy = r.plain
 	}
 	r.clock.Run(settleTime)
@@ -196,6 +198,25 @@
 	return percent(failed, all)
 }
 
+// besideSlow is the goodput of a healthy service, in percent, while another
+// one hardly answers: the experiment of the paper. Each host gets 12 requests a
+// second for the healthy and 30 for the slow one, more than its bound of 16 in
+// flight carries at a timeout of a second.
+func besideSlow(v variant, s site, seed uint64) float64 {
+	s.hosts, s.slow = 4, 4
+	accounts := []account{
+		{id: "healthy", rate: 100, burst: 100, sends: 48},
+		{id: "slow", rate: 200, burst: 200, sends: 120, slow: true},
+	}
+	r := newRun(v, s, seed, accounts)
+	for _, server := range r.servers[s.servers:] {
+		server.work = 20 * time.Second
+	}
+	r.start(20 * time.Second)
+	r.finish()
+	return r.goodput(0)
+}
+
 // fault changes a run that is about to start.
 type fault struct {
 	name  string
--- a/standin/measure/load.go
+++ b/standin/measure/load.go
@@ -14,6 +14,7 @@
 	rate  float64 // granted, requests a second
 	burst int
 	sends float64 // requests a second, on average
+	slow  bool    // calls the slow service
 }
 
 // call is one request and its end.
@@ -21,6 +22,7 @@
 	account int
 	host    int
 	sent    time.Duration
+	slow    bool // calls the slow service
 	within  bool // the account was within rate and burst
 	ended   bool
 	status  int  // of the last attempt
@@ -95,6 +97,7 @@
 		account: i,
 		host:    l.hosts(l.rand, i, l.clock.Now),
 		sent:    l.clock.Now,
+		slow:    l.accounts[i].slow,
 		within:  l.levels[i].take(l.accounts[i], l.clock.Now),
 	}
 	l.calls = append(l.calls, c)
--- a/standin/measure/plain.go
+++ b/standin/measure/plain.go
@@ -19,6 +19,7 @@
 	hosts    []*plainHost
 	// newDetector makes the detector of a host for a server; nil: none.
 	newDetector func() detector
+	slow        int // of the servers, the last ones, form a second service
 	opened      int // decisions to take a server out of use
 	attempts    []useOf
 }
@@ -140,7 +141,7 @@
 
 func (p *plain) forward(h *plainHost, c *call) {
 	h.inFlight++
-	i := p.choose(h)
+	i := p.choose(h, c.slow)
 	p.attempts = append(p.attempts, useOf{p.clock.Now, p.servers[i].id})
 	p.servers[i].send(&attempt{
 		domain:   c.host % domains,
@@ -149,20 +150,25 @@
 	})
 }
 
-// choose picks a random server that is in use, any when none is.
-func (p *plain) choose(h *plainHost) int {
+// choose picks a random server of the service that is in use, any when none
+// is. Both services share the host's bound on requests in flight.
+func (p *plain) choose(h *plainHost, slow bool) int {
 	if h.outUntil == nil {
 		h.outUntil = make([]time.Duration, len(p.servers))
 		h.detectors = make([]detector, len(p.servers))
 	}
+	first, end := 0, len(p.servers)-p.slow
+	if slow {
+		first, end = end, len(p.servers)
+	}
 	var usable []int
-	for i, until := range h.outUntil {
-		if p.clock.Now >= until {
+	for i := first; i < end; i++ {
+		if p.clock.Now >= h.outUntil[i] {
 			usable = append(usable, i)
 		}
 	}
 	if len(usable) == 0 {
-		return p.rand.IntN(len(p.servers))
+		return first + p.rand.IntN(end-first)
 	}
 	return usable[p.rand.IntN(len(usable))]
 }
--- a/standin/measure/product.go
+++ b/standin/measure/product.go
@@ -150,22 +150,35 @@
 	c.limited = o.Reason == model.ReasonOverRate || o.Reason == model.ReasonTokensUnavailable
 }
 
+func service(servers []string, slots int) configuration.Settings {
+	return configuration.Settings{
+		"servers": strings.Join(servers, "\n"), "slots": fmt.Sprint(slots), "connections": "300",
+		"floor": "60%", "concurrency": fmt.Sprint(plainConcurrency), "queue": fmt.Sprint(plainQueue),
+	}
+}
+
 // send implements policy.
 func (p *product) send(c *call) {
-	id := p.fleet.Request(model.HostID(hostID(c.host)), event.RequestArrived{
-		HasKey: true, Key: keyOf(c.account), Method: "GET", Path: "/lookup",
-	})
+	id := p.request(c)
 	if id == 0 { // the host is down: the balancer has noticed
 		c.host = (c.host + 1) % len(p.fleet.Hosts)
-		id = p.fleet.Request(model.HostID(hostID(c.host)), event.RequestArrived{
-			HasKey: true, Key: keyOf(c.account), Method: "GET", Path: "/lookup",
-		})
+		id = p.request(c)
 	}
 	p.calls[id] = c
 }
 
+func (p *product) request(c *call) model.RequestID {
+	path := "/lookup"
+	if c.slow {
+		path = "/slow"
+	}
+	return p.fleet.Request(model.HostID(hostID(c.host)), event.RequestArrived{
+		HasKey: true, Key: keyOf(c.account), Method: "GET", Path: path,
+	})
+}
+
 func keyOf(account int) (key model.KeyHash) {
-	key[0] = byte(account + 1)
+	key[0], key[1] = byte(account+1), byte(account>>8)
 	return key
 }
 
@@ -181,8 +194,8 @@
 }
 
 // tree returns the settings of an experiment.
-func tree(accounts []account, servers, slots int) configuration.Tree {
-	list := make([]string, servers)
+func tree(accounts []account, s site) configuration.Tree {
+	list := make([]string, s.servers+s.slow)
 	for i := range list {
 		list[i] = string(serverID(i))
 	}
@@ -196,8 +209,12 @@
 		"routes":          {},
 		"services":        {},
 		"routes/lookup":   {"path": "/lookup", "service": "lookup", "class": "interactive", "timeout": timeout.String()},
-		"services/lookup": {"servers": strings.Join(list, "\n"), "slots": fmt.Sprint(slots), "connections": "300", "floor": "60%", "concurrency": "16", "queue": "32"},
+		"services/lookup": service(list[:s.servers], s.slots),
 	}}
+	if s.slow > 0 {
+		t.Branches["routes/slow"] = configuration.Settings{"path": "/slow", "service": "slow", "class": "interactive", "timeout": timeout.String()}
+		t.Branches["services/slow"] = service(list[s.servers:], s.slots)
+	}
 	for i, a := range accounts {
 		t.Branches[configuration.Path("accounts/"+string(a.id))] = configuration.Settings{
 			"rate":  fmt.Sprintf("%g/s", a.rate),
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -95,6 +95,10 @@
 			row := Row{Measure: "worst_served_account", Site: s.name, Condition: "the largest sends five times its rate", Policy: v.name, Unit: "% goodput", Aim: "99"}
 			add(row, smaller, func(seed uint64) float64 { return worstServed(v, s, seed) })
 		}
+		for _, v := range []variant{shipped, noDetect, paper} {
+			row := Row{Measure: "goodput_beside_slow_service", Site: s.name, Condition: "another service hardly answers", Policy: v.name, Unit: "%"}
+			add(row, smaller, func(seed uint64) float64 { return besideSlow(v, s, seed) })
+		}
 		for i, d := range demands {
 			for _, v := range []variant{shipped, noDetect} {
 				row := Row{Measure: "refused_within_rate", Site: s.name, Condition: d.name, Policy: v.name, Unit: "%", Aim: aimOf(i)}
