--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -18,3 +18,7 @@
 func AuthorityOf(s *State, now model.Instant) string {
 	return s.limits.members.Authority(now).Authority.String()
 }
+
+// ClaimsSince returns from when on the slot's idempotency records are
+// complete; 0 when none was ever lost.
+func ClaimsSince(s *State, id model.SlotID) model.WallTime { return s.claims.since[id] }
