A new host is ready once it knows the slots' owners

Cause: it passed /readyz up to a second before the first heartbeat told it whom to ask, and refused with tokens_unavailable: 18 and 11 of 320 requests in two rolling stops. It now waits for the owners, for 5 s at most.

--- a/decision/config.go
+++ b/decision/config.go
@@ -252,12 +252,31 @@
 // updateReady lets the balancer send requests while this host can serve them.
 func (s *State) updateReady() {
 	isReady := s.snapshot != nil && !s.stopping && !s.isIsolated() && !s.isConfigBehind()
+	isReady = isReady && (s.ready || s.knowsOwners())
 	if isReady && !s.ready {
 		s.notice(effect.NoticeReady, "")
 	}
 	s.setReady(isReady)
 }
 
+// ownersWithin is how long a new host waits to hear of the slots' owners. It
+// does not wait for ever, because a slot may have lost its owner.
+const ownersWithin = 5 * time.Second
+
+// knowsOwners reports whether a new host knows whom to ask for tokens and
+// claims. Without that it refuses requests that other hosts can serve.
+func (s *State) knowsOwners() bool {
+	if s.now >= s.startedAt.Add(ownersWithin) {
+		return true
+	}
+	for _, id := range s.snapshot.Slots() {
+		if _, ok := s.slotOwner(id); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // maxNoticeLines bounds the problems that a notice repeats.
 const maxNoticeLines = 5
 
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -111,7 +111,7 @@
 	}
 	s.limits.authority = authority
 	s.notice(effect.NoticeAuthority, authority.String())
-	s.setReady(authority != membership.Isolated && s.snapshot != nil && !s.stopping)
+	s.updateReady()
 }
 
 // fleet returns what slots need to know of the other hosts.
--- a/decision/limits_slots.go
+++ b/decision/limits_slots.go
@@ -76,6 +76,7 @@
 	}
 	s.announce(r.Slot, r.Term)
 	s.notice(effect.NoticeSlotAcquired, slotTerm(r.Slot, r.Term))
+	s.updateReady()
 }
 
 func (s *State) slotLost(r slot.Lost) {
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -59,6 +59,7 @@
 func (s *State) onStarted(e event.Started) {
 	s.self = e.Self
 	s.domain = e.Domain
+	s.startedAt = s.now
 	s.rand = rand.New(rand.NewPCG(e.Seed, e.Self.Incarnation))
 	s.startConfig()
 	s.startLimits()
--- a/decision/state.go
+++ b/decision/state.go
@@ -27,8 +27,10 @@
 	requests map[model.RequestID]*request
 	refusals map[refusalKey]uint64
 	ready    bool
-	stopping bool
-	drained  bool // the callers' port is closed
+	// startedAt is when the process started.
+	startedAt model.Instant
+	stopping  bool
+	drained   bool // the callers' port is closed
 
 	config  configState
 	limits  limitState
