--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -22,3 +22,13 @@
 // ClaimsSince returns from when on the slot's idempotency records are
 // complete; 0 when none was ever lost.
 func ClaimsSince(s *State, id model.SlotID) model.WallTime { return s.claims.since[id] }
+
+// KnowsOwners reports whether the host knows an owner of every slot.
+func KnowsOwners(s *State) bool {
+	for _, id := range s.snapshot.Slots() {
+		if _, ok := s.slotOwner(id); !ok {
+			return false
+		}
+	}
+	return true
+}
--- a/decision/limits_scenarios_test.go
+++ b/decision/limits_scenarios_test.go
@@ -225,3 +225,24 @@
 	c.Assert(forwards[1].Request, qt.Equals, second)
 	c.Assert(forwards[1].NotAfter, qt.Equals, h.Now().Add(2*time.Second))
 }
+
+// TestNewHostIsReadyWithOwners guards against a new host that takes requests
+// before it knows whom to ask for tokens, and refuses them.
+func TestNewHostIsReadyWithOwners(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(3, 6)
+	f.Hosts["h0"].Kill()
+	f.Run(20 * time.Second)
+	readyAt := time.Duration(0)
+	f.Intercept = func(h *fleettest.Host, e effect.Effect) bool {
+		if ready, ok := e.(effect.SetReady); ok && ready.Ready && h.Ref.ID == "h0" {
+			readyAt = f.Now
+			c.Check(decision.KnowsOwners(h.State), qt.IsTrue)
+		}
+		return false
+	}
+	began := f.Now
+	f.Start(f.Hosts["h0"].Entry)
+	f.Run(10 * time.Second)
+	c.Assert(readyAt > began, qt.IsTrue)
+}
