Share the one wait of the stand-ins

The caller and the backend server each had the same wait for a time or the end of a context. Behaviour is unchanged; the tests of both packages pass.

--- a/standin/caller/run.go
+++ b/standin/caller/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"pollensail.dev/standin/wait"
 )
 
 // Call is what became of one request.
@@ -37,7 +39,7 @@
 	start := time.Now()
 	for i := range config.Count {
 		due := start.Add(time.Duration(float64(i) / config.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, due) {
+		if !wait.For(ctx, time.Until(due)) {
 			break
 		}
 		select {
@@ -57,18 +59,3 @@
 	running.Wait()
 	return calls, unsent, nil
 }
-
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/server/answer.go
+++ b/standin/server/answer.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pollensail.dev/standin/wait"
 )
 
 // exportChunk is the size in bytes of one piece of an export.
@@ -94,7 +96,7 @@
 	pause := s.workTime(p.faults) / time.Duration(chunks)
 	for i := range chunks {
 		stop := p.truncate && i >= chunks/2
-		if stop || !sleep(ctx, pause) {
+		if stop || !wait.For(ctx, pause) {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := w.Write(chunk); err != nil {
--- a/standin/server/work.go
+++ b/standin/server/work.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pollensail.dev/standin/wait"
 )
 
 // The headers between pollensail and backend servers.
@@ -136,28 +138,13 @@
 	s.stats.Ran++
 	s.mu.Unlock()
 	// An export spends the time of its work on the stream.
-	if s.config.Kind != Export && !sleep(ctx, s.workTime(p.faults)) {
+	if s.config.Kind != Export && !wait.For(ctx, s.workTime(p.faults)) {
 		return false
 	}
 	s.ledger.finish(index)
 	return true
 }
 
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // stamp sets the headers of every answer of the work port.
 func (s *Server) stamp(w http.ResponseWriter) {
 	w.Header().Set(HeaderLoad, strconv.Itoa(s.load())+"/"+strconv.Itoa(s.config.Slots))
