Route by host name and longest prefix, split by weight, confirm keys by age

A deployment may select routes by the Host field, divide a route between services, tell servers an account's own name, bound the attempts of a route and ask for strict withdrawal of keys. The tree gets settings for each.

A path that ends with a slash has what lies below it only. Before, "/rings/" and "/rings" were the same place, so a request for "/rings" reached a route that names "/rings/".

Heartbeats carry the age of the newest proof that no newer version exists. A host with strict withdrawal refuses keyed requests without a proof that is young enough.

--- a/decision/claims.go
+++ b/decision/claims.go
@@ -94,7 +94,8 @@
 
 // claimKey claims the request's idempotency key at its owner.
 func (s *State) claimKey(r *request) step {
-	if r.route.Idempotent || r.isHeld {
+	hasNoKey := r.IdempotencyKey == "" && !r.route.NeedsIdempotencyKey
+	if r.route.Idempotent || r.isHeld || hasNoKey {
 		return stepNext
 	}
 	r.IdempotencyKey = idempotency.Canonical(r.IdempotencyKey)
@@ -268,7 +269,7 @@
 // retainAnswer returns the size up to which the answer is to be copied, 0 for
 // idempotent routes.
 func (s *State) retainAnswer(r *request) int {
-	if r.route.Idempotent {
+	if !r.isHeld {
 		return 0
 	}
 	return idempotency.MaxAnswerBytes
--- a/decision/config.go
+++ b/decision/config.go
@@ -53,6 +53,14 @@
 	told     map[model.HostID]uint64 // versions that peers told, until one is in force
 	asked    int                     // index in peers of the last one asked for its version
 
+	// confirmedAt is an instant at which the version in force was the newest in
+	// the store: no later than the answer that said so. isConfirmed is false
+	// before the first.
+	confirmedAt model.Instant
+	isConfirmed bool
+	// proof is for a version that is on its way.
+	proof versionProof
+
 	storeVersion uint64        // of the last root that the store answered
 	nextRead     model.Instant // when to read while no owner is known
 	isReading    bool          // a read of the root waits for its answer
@@ -106,10 +114,11 @@
 		s.askVersions()
 		return
 	}
-	s.storeReached()
+	s.limits.members.StoreReached(e.SentAt)
 	c.storeVersion = max(c.storeVersion, e.StoreVersion)
 	if e.Root.Version > 0 {
 		s.considerRoot(e.Root, "")
+		s.confirmVersion(e.Root.Version, e.SentAt)
 	}
 	if s.ownsSlot0() {
 		s.watchRoot()
@@ -138,7 +147,7 @@
 	switch {
 	case s.ownsSlot0():
 		s.watchRoot()
-	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead():
+	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead(), s.isConfirmationDue():
 		s.readRoot()
 	}
 }
@@ -240,6 +249,7 @@
 	c := &s.config
 	c.root = root
 	c.behindSince = s.now
+	s.applyProof()
 	c.dropShards()
 	clear(c.told)
 	s.snapshot = snapshot
--- a/decision/configuration/build.go
+++ b/decision/configuration/build.go
@@ -132,10 +132,16 @@
 	if !draft.idempotentSet {
 		r.Idempotent = r.Class != model.Mutation
 	}
+	if !draft.keySet {
+		r.NeedsIdempotencyKey = !r.Idempotent
+	}
+	if (r.Service == "") == (len(r.Split) == 0) {
+		b.unknown(p, "service", string(r.Service))
+	}
 	if r.Path == "" {
 		return // reported already
 	}
-	if other, ok := b.snapshot.index.get(r.Path); ok {
+	if other, ok := b.snapshot.index.other(&r); ok {
 		b.duplicate(p, "path", r.Path, TopRoutes, string(other.ID))
 	}
 	b.snapshot.AddRoute(&r)
--- a/decision/configuration/definitions.go
+++ b/decision/configuration/definitions.go
@@ -1,12 +1,18 @@
 package configuration
 
-import "pollensail.dev/decision/model"
+import (
+	"time"
+
+	"pollensail.dev/decision/model"
+)
 
 // The limits of settings. They exclude values that can only be mistakes.
 const (
 	maxSlotsPerDomain = 64
 	maxBurst          = 1_000_000
 	maxWeight         = 1000
+	maxPriority       = 1000
+	maxAttempts       = 10
 	maxCount          = 1_000_000
 )
 
@@ -17,11 +23,14 @@
 	{Setting{Name: "slots_per_domain", Kind: KindRoot, Default: "4",
 		Expected: "a whole number from 1 to 64"},
 		func(s *Snapshot, v string) bool { return parseCount(&s.SlotsPerDomain, v, 1, maxSlotsPerDomain) }},
+	{Setting{Name: "withdrawal", Kind: KindRoot,
+		Expected: `how soon a withdrawn key stops on every host, a duration from 1s to 10m; unset: valid keys work while the store is down for all`},
+		func(s *Snapshot, v string) bool { return parseDuration(&s.Withdrawal, v, time.Second, maxTimeout) }},
 }
 
 var accountDefinitions = []definition[Account]{
 	{Setting{Name: "rate", Kind: KindAccount, Required: true,
-		Expected: `requests a second or a minute over the whole fleet, such as "20/s" or "90/m"`},
+		Expected: `requests a second or a minute over the whole fleet, such as "20/s" or "90/m", or "unlimited"`},
 		func(a *Account, v string) bool { return parseRate(&a.Rate, v) }},
 	{Setting{Name: "burst", Kind: KindAccount, Required: true,
 		Expected: "a whole number of requests, at least 1"},
@@ -29,6 +38,15 @@
 	{Setting{Name: "weight", Kind: KindAccount, Default: "1",
 		Expected: "a whole number from 1 to 1000"},
 		func(a *Account, v string) bool { return parseCount(&a.Weight, v, 1, maxWeight) }},
+	{Setting{Name: "name", Kind: KindAccount, OwnOnly: true,
+		Expected: "the name that backend servers are told, printable ASCII; unset: the path of the account"},
+		func(a *Account, v string) bool { return parseName(&a.Name, v) }},
+	{Setting{Name: "priority", Kind: KindAccount,
+		Expected: "the rank of the account's requests, 0 the highest, to 1000; unset: the route's"},
+		func(a *Account, v string) bool {
+			a.HasPriority = true
+			return parseCount(&a.Priority, v, 0, maxPriority)
+		}},
 	{Setting{Name: "routes", Kind: KindAccount, List: true,
 		Expected: `routes or branches of routes that exist, without "routes/"; unset allows all`},
 		func(a *Account, v string) bool { return parsePaths(&a.Routes, v) }},
@@ -41,18 +59,25 @@
 type routeDraft struct {
 	Route
 	idempotentSet bool
+	keySet        bool
 }
 
 var routeDefinitions = []definition[routeDraft]{
+	{Setting{Name: "hosts", Kind: KindRoute, List: true,
+		Expected: `names in the Host field in lower case, each once; unset: any name that no other route has`},
+		func(r *routeDraft, v string) bool { return parseHosts(&r.Hosts, v) }},
 	{Setting{Name: "path", Kind: KindRoute, Required: true, OwnOnly: true,
-		Expected: `a prefix of request paths that no other route has, such as "/rings"`},
+		Expected: `a prefix of request paths that no other route of the host name has, such as "/rings"; one that ends with "/" has what lies below it only`},
 		func(r *routeDraft, v string) bool { return parseURLPath(&r.Path, v) }},
 	{Setting{Name: "methods", Kind: KindRoute, List: true,
 		Expected: `HTTP methods in upper case, each once, such as "GET"; unset allows all`},
 		func(r *routeDraft, v string) bool { return parseMethods(&r.Methods, v) }},
-	{Setting{Name: "service", Kind: KindRoute, Required: true,
-		Expected: `the name of a service that exists, without "services/"`},
+	{Setting{Name: "service", Kind: KindRoute,
+		Expected: `the name of a service that exists, without "services/"; either this or split is required`},
 		func(r *routeDraft, v string) bool { return parseService(&r.Service, v) }},
+	{Setting{Name: "split", Kind: KindRoute, List: true,
+		Expected: `services that exist, each with a weight from 1 to 1000000, such as "lookup 90"`},
+		func(r *routeDraft, v string) bool { return parseSplit(&r.Split, v) }},
 	{Setting{Name: "class", Kind: KindRoute, Default: model.Interactive.String(),
 		Expected: `"interactive", "mutation" or "batch"`},
 		func(r *routeDraft, v string) bool { return parseClass(&r.Class, v) }},
@@ -67,6 +92,22 @@
 	{Setting{Name: "timeout", Kind: KindRoute, Default: "10s",
 		Expected: `a duration from 1ms to 10m, such as "800ms"`},
 		func(r *routeDraft, v string) bool { return parseDuration(&r.Timeout, v, minTimeout, maxTimeout) }},
+	{Setting{Name: "idempotency_key", Kind: KindRoute,
+		Expected: `"required" or "none"; unset: required where the route is not idempotent`},
+		func(r *routeDraft, v string) bool {
+			r.keySet = true
+			r.NeedsIdempotencyKey = v == "required"
+			return v == "required" || v == "none"
+		}},
+	{Setting{Name: "target", Kind: KindRoute,
+		Expected: `the latency up to which an answer is of full use, a duration from 1ms to 10m`},
+		func(r *routeDraft, v string) bool { return parseDuration(&r.Target, v, minTimeout, maxTimeout) }},
+	{Setting{Name: "attempts", Kind: KindRoute, Default: "3",
+		Expected: "how many servers a request is sent to at most, 1 to 10"},
+		func(r *routeDraft, v string) bool { return parseCount(&r.Attempts, v, 1, maxAttempts) }},
+	{Setting{Name: "priority", Kind: KindRoute, Default: "0",
+		Expected: "the rank of the route's requests, 0 the highest, to 1000"},
+		func(r *routeDraft, v string) bool { return parseCount(&r.Priority, v, 0, maxPriority) }},
 }
 
 var serviceDefinitions = []definition[Service]{
--- a/decision/configuration/parse.go
+++ b/decision/configuration/parse.go
@@ -107,6 +107,32 @@
 	return isPath(value)
 }
 
+func parseHosts(target *[]string, value string) bool {
+	return parseList(target, value, func(v string) (string, bool) {
+		return v, v == strings.ToLower(v) && isElement(v)
+	})
+}
+
+func parseSplit(target *[]Part, value string) bool {
+	return parseList(target, value, func(v string) (Part, bool) {
+		name, digits, ok := strings.Cut(v, " ")
+		weight, err := strconv.Atoi(digits)
+		isWeight := err == nil && 1 <= weight && weight <= maxCount
+		return Part{model.ServiceID(name), weight}, ok && isWeight && isPath(name)
+	})
+}
+
+// parseName takes what a header field can hold.
+func parseName(target *string, value string) bool {
+	*target = value
+	for i := range len(value) {
+		if value[i] < ' ' || value[i] > '~' {
+			return false
+		}
+	}
+	return value != "" && len(value) <= maxPath && strings.TrimSpace(value) == value
+}
+
 func parseClass(target *model.Class, value string) bool {
 	class, ok := model.ParseClass(value)
 	*target = class
@@ -137,7 +163,14 @@
 	return ok && err == nil && 0 <= n && n <= 100
 }
 
+// unlimited is the rate of an account without a limit.
+const unlimited = "unlimited"
+
 func parseRate(target *float64, value string) bool {
+	if value == unlimited {
+		*target = 0
+		return true
+	}
 	number, unit, _ := strings.Cut(value, "/")
 	n, err := strconv.ParseFloat(number, 64)
 	if err != nil || math.IsNaN(n) {
--- a/decision/configuration/rebuild.go
+++ b/decision/configuration/rebuild.go
@@ -58,7 +58,7 @@
 		s.Keys = maps.Clone(s.Keys)
 	case TopRoutes:
 		s.Routes = maps.Clone(s.Routes)
-		s.index.byPath = maps.Clone(s.index.byPath)
+		s.index.byKey = maps.Clone(s.index.byKey)
 	case TopServices:
 		s.Services = maps.Clone(s.Services)
 	}
--- a/decision/configuration/reference.go
+++ b/decision/configuration/reference.go
@@ -22,8 +22,10 @@
 	branches := map[Path]bool{"": true}
 	for id, r := range b.snapshot.Routes {
 		markInner(branches, Path(id))
-		if _, ok := b.snapshot.Services[r.Service]; !ok && r.Service != "" {
-			b.unknown(Path(TopRoutes+"/"+string(id)), "service", string(r.Service))
+		for _, service := range r.Services() {
+			if _, ok := b.snapshot.Services[service]; !ok && service != "" {
+				b.unknown(Path(TopRoutes+"/"+string(id)), "service", string(service))
+			}
 		}
 	}
 	for id, a := range b.snapshot.Accounts {
--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -14,18 +14,24 @@
 	Domains []model.DomainID
 	// SlotsPerDomain is the number of slots in each failure domain.
 	SlotsPerDomain int
-	Accounts       map[model.AccountID]*Account
-	Keys           map[model.KeyHash]model.AccountID
-	Services       map[model.ServiceID]*Service
-	Routes         map[model.RouteID]*Route
-	index          routeIndex
-	inner          map[Path]Settings // the branches that objects inherit from
+	// Withdrawal is how soon a withdrawn key must stop working on every host,
+	// in touch with the store or not; 0: valid keys go on working while the
+	// store is down for all.
+	Withdrawal time.Duration
+	Accounts   map[model.AccountID]*Account
+	Keys       map[model.KeyHash]model.AccountID
+	Services   map[model.ServiceID]*Service
+	Routes     map[model.RouteID]*Route
+	index      routeIndex
+	inner      map[Path]Settings // the branches that objects inherit from
 }
 
 // Account is a client account.
 type Account struct {
-	ID    model.AccountID
-	Rate  float64 // requests a second over the whole fleet
+	ID model.AccountID
+	// Name is what backend servers are told; empty: the id.
+	Name  string
+	Rate  float64 // requests a second over the whole fleet; 0: no limit
 	Burst int     // requests
 	// Weight is the share in fair queues. Default 1.
 	Weight int
@@ -33,21 +39,78 @@
 	// empty allows all.
 	Routes []string
 	Keys   []model.KeyHash
+	// Priority is the rank of the account's requests, 0 the highest. Where
+	// HasPriority it goes before the route's.
+	Priority    int
+	HasPriority bool
 }
 
 // Route maps requests to a service.
 type Route struct {
-	ID      model.RouteID
-	Path    string   // prefix of the request path, ends at "/" or the end
-	Methods []string // empty allows all
-	Service model.ServiceID
-	Class   model.Class
+	ID model.RouteID
+	// Hosts are the names in the Host field that the route is for, in lower
+	// case; empty takes every request that no route with a name matches.
+	Hosts   []string
+	Path    string          // prefix of the request path, ends at "/" or the end
+	Methods []string        // empty allows all
+	Service model.ServiceID // empty with Split
+	// Split divides the requests between services by weight.
+	Split []Part
+	Class model.Class
 	// Open routes need no key and count against no account.
 	Open bool
 	// Idempotent requests may be sent again after MayHaveRun. Default: class
 	// Mutation is not, the others are.
 	Idempotent bool
-	Timeout    time.Duration // when the caller gives none, and the longest allowed
+	// NeedsIdempotencyKey says that a request that is not idempotent must
+	// carry a key; without, at most one attempt of it may run and the fleet
+	// recognizes no repetition.
+	NeedsIdempotencyKey bool
+	Timeout             time.Duration // when the caller gives none, and the longest allowed
+	// Target is the latency within which an answer is of full use; 0: none.
+	Target time.Duration
+	// Attempts bounds the servers that one request is sent to.
+	Attempts int
+	// Priority is the rank of the route's requests, 0 the highest.
+	Priority int
+}
+
+// Part is a service's share of a route's requests.
+type Part struct {
+	Service model.ServiceID
+	Weight  int
+}
+
+// Services returns every service that the route sends requests to.
+func (r *Route) Services() []model.ServiceID {
+	if len(r.Split) == 0 {
+		return []model.ServiceID{r.Service}
+	}
+	services := make([]model.ServiceID, len(r.Split))
+	for i, part := range r.Split {
+		services[i] = part.Service
+	}
+	return services
+}
+
+// ServiceFor returns the service of a request. point is a number that is spread
+// evenly over all values.
+func (r *Route) ServiceFor(point uint64) model.ServiceID {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := uint64(0)
+	for _, part := range r.Split {
+		total += uint64(part.Weight)
+	}
+	point %= total
+	for _, part := range r.Split {
+		if point < uint64(part.Weight) {
+			return part.Service
+		}
+		point -= uint64(part.Weight)
+	}
+	return r.Split[len(r.Split)-1].Service
 }
 
 // Service is a pool of backend servers.
@@ -86,9 +149,10 @@
 	return account, isOwner == 1
 }
 
-// Match returns the route with the longest path that is a prefix of path.
-func (s *Snapshot) Match(path string) (*Route, bool) {
-	return s.index.match(path)
+// Match returns the route with the longest path that is a prefix of path, of
+// those for the host name, else of those for any.
+func (s *Snapshot) Match(host, path string) (*Route, bool) {
+	return s.index.match(host, path)
 }
 
 // Slots returns every slot of the fleet, domains in order.
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -14,15 +14,19 @@
 // Forward asks the traffic goroutine of a request for one attempt. It answers
 // with event.AttemptEnded.
 type Forward struct {
-	Request  model.RequestID
-	Server   model.ServerID
-	Account  model.AccountID // empty on an open route
-	Class    model.Class
-	NotAfter model.Instant // no byte is written to the server after this
-	Deadline model.Instant // the caller's; the attempt is cancelled then
+	Request model.RequestID
+	Server  model.ServerID
+	Account model.AccountID // empty on an open route
+	// AccountName is what the server is told of the account.
+	AccountName string
+	Class       model.Class
+	NotAfter    model.Instant // no byte is written to the server after this
+	Deadline    model.Instant // the caller's; the attempt is cancelled then
 	// RetainAnswer is the size in bytes up to which the answer is copied into
 	// the AttemptResult; 0 retains nothing.
 	RetainAnswer int
+	// Cancellable says that the attempt ends when the caller leaves.
+	Cancellable bool
 }
 
 // Deliver tells the traffic goroutine to pass on the answer of the attempt
--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -32,6 +32,8 @@
 // effect.
 type RequestArrived struct {
 	Request        model.RequestID
+	Name           string // the request's id as callers and servers see it
+	Host           string // from the Host field, in lower case and without a port
 	HasKey         bool
 	Key            model.KeyHash // valid when HasKey
 	Method         string
@@ -107,6 +109,7 @@
 	Root         configuration.Root
 	StoreVersion uint64
 	Error        StoreError
+	SentAt       model.Instant // when the call left
 }
 
 // ShardsRead answers effect.ReadShards and effect.DecodeShards. Shards that
--- a/decision/limits.go
+++ b/decision/limits.go
@@ -43,13 +43,11 @@
 	owner   *tokens.Owner
 	holder  *tokens.Holder
 
-	configured *configuration.Snapshot // that slots and holder know
-	authority  membership.Authority    // last reported
-	// tickAt and tickBefore are the times of the last two heartbeats.
-	tickAt, tickBefore model.Instant
-	storeReadAt        model.Instant
-	isRunning          bool          // runTokens is active
-	stopBy             model.Instant // 0: handovers have not begun
+	configured  *configuration.Snapshot // that slots and holder know
+	authority   membership.Authority    // last reported
+	storeReadAt model.Instant
+	isRunning   bool          // runTokens is active
+	stopBy      model.Instant // 0: handovers have not begun
 }
 
 func newLimitState() limitState { return limitState{} }
@@ -60,7 +58,6 @@
 		slots:   slot.New(s.self, s.now),
 		owner:   tokens.NewOwner(),
 		holder:  tokens.NewHolder(s.tokenSources),
-		tickAt:  s.now,
 	}
 	jitter := time.Duration(s.rand.Int64N(int64(heartbeatEvery)))
 	s.setLimitsTimer(limitsHeartbeat, s.now.Add(jitter))
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -21,11 +21,6 @@
 	return s.limits.members.Authority(s.now).Authority == membership.Isolated
 }
 
-// storeReached says that the store has just answered a call whose time of
-// leaving is not known. It counts from a heartbeat before the answer was taken
-// up, because the answer may have waited while the process was paused.
-func (s *State) storeReached() { s.limits.members.StoreReached(s.limits.tickBefore) }
-
 // storeAnswered says that the store answered a call that left at the given
 // instant.
 func (s *State) storeAnswered(sentAt model.Instant, e event.StoreError) {
@@ -35,7 +30,6 @@
 }
 
 func (s *State) tickHeartbeat() {
-	s.limits.tickBefore, s.limits.tickAt = s.limits.tickAt, s.now
 	if peer, m, ok := s.limits.members.Ask(s.now, s.rand); ok {
 		s.send(peer, s.fillHeartbeat(m))
 	}
@@ -47,6 +41,9 @@
 	if s.snapshot != nil {
 		m.Version = s.snapshot.Version
 	}
+	if age := s.confirmationAge(); age >= 0 {
+		m.Confirmed, m.ConfigAge = true, age
+	}
 	m.Leaving = s.leavingServers()
 	m.Stopping = s.stopping
 	return m
@@ -54,6 +51,9 @@
 
 func (s *State) onHeartbeat(from model.HostRef, m message.Heartbeat) {
 	s.latchSlots()
+	if sentAfter, ok := s.limits.members.AskedAt(s.now, m.Echo); ok && m.Confirmed && m.ConfigAge >= 0 {
+		s.confirmVersion(m.Version, sentAfter.Add(-m.ConfigAge))
+	}
 	s.limits.members.Heard(s.now, from, m)
 	s.limits.slots.Heard(s.now, m)
 	s.latchSlots()
--- a/decision/limits_tokens.go
+++ b/decision/limits_tokens.go
@@ -57,7 +57,7 @@
 // with a claim keep their token, because the claim ends at its own time.
 func (s *State) ensureToken(r *request) bool {
 	hasExpired := r.token.Grant != 0 && r.attempts == 0 && s.now.Add(minTokenLeft) >= r.token.Until
-	if !hasExpired || !r.route.Idempotent {
+	if !hasExpired || r.isHeld {
 		r.readmitted = false
 		return true
 	}
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -181,8 +181,8 @@
 	if h, ok := s.hosts[from.ID]; ok {
 		h.stopping = m.Stopping
 	}
-	sentAfter, ok := s.asked[m.Echo]
-	if !ok || m.Echo == 0 || sentAfter.Add(Window) <= now {
+	sentAfter, ok := s.AskedAt(now, m.Echo)
+	if !ok {
 		return
 	}
 	s.heard(from, sentAfter, m.Young)
@@ -196,6 +196,13 @@
 	}
 }
 
+// AskedAt returns when the heartbeat with the given sequence asked for an
+// answer. It reports false where it did not, or too long ago.
+func (s *State) AskedAt(now model.Instant, echo uint64) (model.Instant, bool) {
+	sentAfter, ok := s.asked[echo]
+	return sentAfter, ok && echo != 0 && sentAfter.Add(Window) > now
+}
+
 func (s *State) heard(ref model.HostRef, at model.Instant, young bool) {
 	h, ok := s.hosts[ref.ID]
 	if !ok || ref.ID == s.self.ID || (h.known && h.at >= at) {
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -31,11 +31,15 @@
 	// negative when it knows none.
 	StoreAge time.Duration
 	Version  uint64 // of the configuration in force; 0: none
-	Slots    []SlotOwned
-	Intents  []IntentHeard // every recent one known to the sender
-	Hosts    []HostAge     // at most MaxHostAges, freshest first
-	Leaving  []model.ServerID
-	Stopping bool // the sender accepts no new work
+	// Confirmed says that the sender has proof that no version newer than
+	// Version existed ConfigAge ago.
+	Confirmed bool
+	ConfigAge time.Duration
+	Slots     []SlotOwned
+	Intents   []IntentHeard // every recent one known to the sender
+	Hosts     []HostAge     // at most MaxHostAges, freshest first
+	Leaving   []model.ServerID
+	Stopping  bool // the sender accepts no new work
 }
 
 // MaxHostAges bounds Heartbeat.Hosts, so that a heartbeat does not grow with
--- a/decision/model/ids.go
+++ b/decision/model/ids.go
@@ -1,6 +1,9 @@
 package model
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // HostID names an entry host. It comes from the host's settings.
 type HostID string
@@ -33,9 +36,32 @@
 // below "services".
 type ServiceID string
 
-// ServerID names a backend server by its "ip:port" address.
+// ServerID names a backend server by its "ip:port" address. Where the platform
+// tells an identity that changes with each start of the server, it stands
+// before the address, followed by "@".
 type ServerID string
 
+// ServerAt returns the id of the server with an identity at an address.
+func ServerAt(identity, address string) ServerID { return ServerID(identity + "@" + address) }
+
+// Address returns the "ip:port" address.
+func (s ServerID) Address() string {
+	_, address, ok := strings.Cut(string(s), "@")
+	if !ok {
+		return string(s)
+	}
+	return address
+}
+
+// Identity returns the identity, empty where none is known.
+func (s ServerID) Identity() string {
+	identity, _, ok := strings.Cut(string(s), "@")
+	if !ok {
+		return ""
+	}
+	return identity
+}
+
 // RequestID names a caller's request within one host's process.
 type RequestID uint64
 
--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -7,6 +7,7 @@
 const (
 	ReasonNotReady            Reason = "not_ready"            // no configuration in force yet
 	ReasonIsolated            Reason = "isolated"             // neither store nor most hosts are heard
+	ReasonKeysUnconfirmed     Reason = "keys_unconfirmed"     // no proof, young enough, that the keys are the newest
 	ReasonStopping            Reason = "stopping"             // planned stop, no new work
 	ReasonNoRoute             Reason = "no_route"             // no route matches the path
 	ReasonMethod              Reason = "method_not_allowed"   // the route does not allow the method
@@ -47,6 +48,7 @@
 // Outcome is the record of one finished request, for logs and metrics.
 type Outcome struct {
 	Request  RequestID
+	Name     string // the request's id as callers and servers see it
 	Account  AccountID
 	Route    RouteID
 	Service  ServiceID
--- a/decision/request.go
+++ b/decision/request.go
@@ -30,6 +30,7 @@
 	deadline model.Instant
 	account  model.AccountID // empty on an open route
 	route    *configuration.Route
+	service  model.ServiceID
 	stage    stage
 	// verdict sums up all attempts: NotRun until one may have run.
 	verdict  model.Verdict
@@ -86,15 +87,19 @@
 	if s.snapshot == nil {
 		return model.ReasonNotReady
 	}
-	route, ok := s.snapshot.Match(r.Path)
+	route, ok := s.snapshot.Match(r.Host, r.Path)
 	if !ok {
-		return model.ReasonNoRoute
+		return s.orNotReady(model.ReasonNoRoute)
 	}
 	r.route = route
+	r.service = route.Service
+	if len(route.Split) > 0 {
+		r.service = route.ServiceFor(s.rand.Uint64())
+	}
 	if !route.AllowsMethod(r.Method) {
 		return model.ReasonMethod
 	}
-	if !route.Idempotent && r.IdempotencyKey == "" {
+	if route.NeedsIdempotencyKey && !route.Idempotent && r.IdempotencyKey == "" {
 		return model.ReasonIdempotencyMissing
 	}
 	return s.authorize(r)
@@ -103,29 +108,53 @@
 // authorize checks the request's key against the snapshot in force. It runs
 // again before each forward, because a key may be withdrawn in between.
 func (s *State) authorize(r *request) model.Reason {
+	if r.route.Open {
+		return s.authorizeOpen()
+	}
 	if s.isIsolated() || s.isConfigBehind() {
 		return model.ReasonIsolated
 	}
-	if r.route.Open {
-		return ""
+	if s.now >= s.keysUntil() {
+		return model.ReasonKeysUnconfirmed
 	}
 	if !r.HasKey {
 		return model.ReasonKeyMissing
 	}
 	account, ok := s.snapshot.AccountOf(r.Key)
 	if !ok {
-		return model.ReasonKeyUnknown
+		return s.orNotReady(model.ReasonKeyUnknown)
 	}
 	if r.account != "" && r.account != account.ID {
 		return model.ReasonKeyUnknown
 	}
 	if !account.Allows(r.route) {
-		return model.ReasonAccountRoute
+		return s.orNotReady(model.ReasonAccountRoute)
 	}
 	r.account = account.ID
 	return ""
 }
 
+// authorizeOpen checks a request that needs no key. Where keys are confirmed
+// anew all the time, an open route does not depend on the store.
+func (s *State) authorizeOpen() model.Reason {
+	isOwnCheck := s.snapshot.Withdrawal > 0
+	if !isOwnCheck && (s.isIsolated() || s.isConfigBehind()) {
+		return model.ReasonIsolated
+	}
+	return ""
+}
+
+// orNotReady returns the reason where the configuration in force is the newest
+// that this host has heard of and was confirmed of late. Otherwise a newer one
+// may allow the request, and the caller may come back.
+func (s *State) orNotReady(reason model.Reason) model.Reason {
+	isConfirmed := s.snapshot.Withdrawal <= 0 || s.now < s.config.confirmedAt.Add(confirmedFor)
+	if s.isCurrent() && isConfirmed {
+		return reason
+	}
+	return model.ReasonNotReady
+}
+
 // advance moves a request through its stages until it waits or ends.
 func (s *State) advance(r *request) {
 	for r.stage < stageForward {
@@ -167,13 +196,32 @@
 		Request:      r.Request,
 		Server:       r.server,
 		Account:      r.account,
+		AccountName:  s.accountName(r.account),
 		Class:        r.route.Class,
-		NotAfter:     min(r.notAfter, r.deadline),
+		NotAfter:     min(r.notAfter, r.deadline, s.authorizedUntil(r)),
 		Deadline:     r.deadline,
 		RetainAnswer: s.retainAnswer(r),
+		Cancellable:  r.route.Idempotent,
 	})
 }
 
+// authorizedUntil returns the instant after which the request's key must be
+// confirmed anew.
+func (s *State) authorizedUntil(r *request) model.Instant {
+	if r.route.Open {
+		return model.Never
+	}
+	return s.keysUntil()
+}
+
+// accountName returns what servers are told of an account.
+func (s *State) accountName(id model.AccountID) string {
+	if account, ok := s.snapshot.Accounts[id]; ok && account.Name != "" {
+		return account.Name
+	}
+	return string(id)
+}
+
 func (s *State) onAttemptEnded(e event.AttemptEnded) {
 	r, ok := s.requests[e.Request]
 	if !ok || r.stage != stageForward {
@@ -307,6 +355,7 @@
 func (s *State) record(r *request) {
 	outcome := model.Outcome{
 		Request:  r.Request,
+		Name:     r.Name,
 		Account:  r.account,
 		Server:   r.server,
 		Verdict:  r.verdict,
@@ -317,7 +366,7 @@
 	}
 	if r.route != nil {
 		outcome.Route = r.route.ID
-		outcome.Service = r.route.Service
+		outcome.Service = r.service
 		outcome.Class = r.route.Class
 	}
 	s.emit(effect.Record{Outcome: outcome})
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -50,7 +50,7 @@
 
 // takeLoad notes the load that the server reported.
 func (s *State) takeLoad(r *request, result model.AttemptResult) {
-	pool := s.pool(r.route.Service)
+	pool := s.pool(r.service)
 	if pool == nil {
 		return
 	}
@@ -63,7 +63,7 @@
 // takeFinding counts an attempt and avoids the server if the way to it is
 // faulty.
 func (s *State) takeFinding(r *request, result model.AttemptResult) {
-	service := r.route.Service
+	service := r.service
 	pool := s.pool(service)
 	if pool == nil {
 		return
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -1,12 +1,15 @@
 package decision
 
 import (
+	"cmp"
+
 	"pollensail.dev/decision/model"
 	"pollensail.dev/decision/placement"
 )
 
-// maxAttempts bounds the attempts for one request, the first included.
-const maxAttempts = 3
+// defaultAttempts bounds the attempts for one request, the first included, on a
+// route that does not say.
+const defaultAttempts = 3
 
 // placing is a request's place at a server, or in the queue for one.
 type placing struct {
@@ -20,7 +23,7 @@
 
 // place chooses a server for the request or queues it.
 func (s *State) place(r *request) step {
-	pool := s.pool(r.route.Service)
+	pool := s.pool(r.service)
 	if pool == nil || pool.IsEmpty() {
 		s.refuse(r, model.ReasonNoServer, 0)
 		return stepDone
@@ -81,7 +84,7 @@
 	if !wasPlaced && !wasQueued {
 		return
 	}
-	pool, ok := s.servers.pools[r.route.Service]
+	pool, ok := s.servers.pools[r.service]
 	if !ok {
 		return
 	}
@@ -90,7 +93,7 @@
 		return
 	}
 	pool.Release(r.server, s.now.Sub(r.placedAt))
-	s.serveQueue(r.route.Service)
+	s.serveQueue(r.service)
 }
 
 // serveQueue advances the requests in turn while there is room.
@@ -129,10 +132,10 @@
 // takeRetry takes one retry from the budget. It reports false when the budget
 // is spent, no other server is left, or the failure is not one of the server.
 func (s *State) takeRetry(r *request, result model.AttemptResult) bool {
-	if r.attempts >= maxAttempts || !isRetried(result) {
+	if r.attempts >= cmp.Or(r.route.Attempts, defaultAttempts) || !isRetried(result) {
 		return false
 	}
-	pool := s.pool(r.route.Service)
+	pool := s.pool(r.service)
 	if pool == nil || !pool.HasOther(r.tried) {
 		return false
 	}
@@ -149,7 +152,7 @@
 // queueUntil returns until when the request may wait for a server beside its
 // deadline. An idempotent one gets a new token when its own runs out.
 func queueUntil(r *request) model.Instant {
-	if r.route.Idempotent {
+	if !r.isHeld {
 		return model.Never
 	}
 	return r.notAfter
