--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -70,6 +70,9 @@
 // HostsListed carries the platform's host list.
 type HostsListed struct {
 	Entries []model.HostEntry
+	// Resumed says that the list could not be followed before. Entries that
+	// lapsed meanwhile may come back soon.
+	Resumed bool
 }
 
 // StoreError tells the failures of a store call apart. The zero value is
--- a/decision/model/host.go
+++ b/decision/model/host.go
@@ -1,5 +1,7 @@
 package model
 
+import "time"
+
 // Role tells the kinds of entries in the platform's host list apart.
 type Role string
 
@@ -19,6 +21,11 @@
 	Operator string    // "ip:port" of an entry host's operator port
 	Leaving  bool
 	Since    WallTime // when the platform first listed it; 0 when unknown
+	// Slots is how many requests a backend server works on at once; 0: what
+	// the service says.
+	Slots int
+	// ColdFor is how much longer a backend server is slow after its start.
+	ColdFor time.Duration
 }
 
 // SlotID names a unit of exclusive ownership.
--- a/host/backend/attempt.go
+++ b/host/backend/attempt.go
@@ -16,7 +16,7 @@
 // Attempt is what to send where, until when.
 type Attempt struct {
 	Forward effect.Forward
-	// ID is sent as wire.RequestID. An answer that echoes another one is a
+	// ID is sent as the RequestID field. An answer that echoes another one is a
 	// bad answer.
 	ID string
 	// Request has the end-to-end fields only. Do writes its length, ID and
@@ -68,7 +68,7 @@
 		return nil, f
 	}
 	answer, f := e.receive()
-	if f.isNone() && e.writeError != nil && !isShed(&answer.Response.Header) {
+	if f.isNone() && e.writeError != nil && !e.isShed(&answer.Response.Header) {
 		answer.Release()
 		f = failure{model.MayHaveRun, reasonOf(e.writeError)}
 	}
@@ -122,8 +122,11 @@
 func (e *exchange) encode(c *conn) {
 	var timeout [24]byte
 	header := &e.Request.Header
-	header.Set(wire.RequestID, e.ID)
-	header.SetBytesV(wire.Timeout, wire.AppendTimeout(timeout[:0], e.remaining()))
+	d := e.transport.options.Dialect
+	header.Set(d.RequestID, e.ID)
+	header.SetBytesV(d.Timeout, d.AppendTimeout(timeout[:0], e.remaining()))
+	setField(header, d.Identity, e.Forward.Server.Identity())
+	setField(header, d.Account, e.Forward.AccountName)
 	size := len(e.Request.Body())
 	if size > 0 || !header.IsGet() && !header.IsHead() {
 		header.SetContentLength(size)
@@ -131,6 +134,18 @@
 	c.header = header.AppendBytes(c.header[:0])
 }
 
+// setField sets a field that the dialect has. An empty value removes it, so
+// that no value of the caller or of an earlier attempt remains.
+func setField(header *fasthttp.RequestHeader, name, value string) {
+	if name == "" {
+		return
+	}
+	header.Del(name)
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
 // remaining is the time until the deadline, at most wire.MaxTimeout.
 func (e *exchange) remaining() time.Duration {
 	if e.deadline.IsZero() {
--- a/host/backend/result.go
+++ b/host/backend/result.go
@@ -13,32 +13,36 @@
 	result := model.AttemptResult{
 		Verdict:   model.Ran,
 		Status:    header.StatusCode(),
-		Draining:  string(header.Peek(wire.ServerState)) == wire.StateDraining,
+		Draining:  e.dialect().IsDraining(header),
 		Latency:   e.latency(),
 		Streaming: answer.Streaming(),
 	}
-	if load, err := wire.ParseLoad(string(header.Peek(wire.Load))); err == nil {
+	if load, err := e.dialect().ParseLoad(string(header.Peek(e.dialect().Load))); err == nil {
 		result.InFlight = load.InFlight
 		result.Slots = load.Slots
 	}
 	if !answer.Streaming() {
 		e.giveBack(answer)
 	}
-	if isShed(header) {
+	if e.isShed(header) {
 		result.Verdict = model.NotRun
 		result.Shed = true
 		result.Streaming = false
 		answer.Release()
 		return result, nil
 	}
+	if e.dialect().IsDoubtful(header) {
+		answer.Release()
+		result.Verdict, result.Reason, result.Streaming = model.MayHaveRun, model.ReasonBadAnswer, false
+		return result, nil
+	}
 	result.Answer = e.retain(answer)
 	return result, answer
 }
 
-func isShed(h *fasthttp.ResponseHeader) bool {
-	return h.StatusCode() == fasthttp.StatusServiceUnavailable &&
-		string(h.Peek(wire.Shed)) == wire.ShedNotRun
-}
+func (e *exchange) dialect() wire.Dialect { return e.transport.options.Dialect }
+
+func (e *exchange) isShed(h *fasthttp.ResponseHeader) bool { return e.dialect().IsNotRun(h) }
 
 // giveBack keeps the connection of an answer that was read whole.
 func (e *exchange) giveBack(answer *Answer) {
@@ -57,7 +61,7 @@
 	}
 	retained := &model.Answer{
 		Status: answer.Response.StatusCode(),
-		Header: endToEnd(&answer.Response.Header),
+		Header: endToEnd(e.dialect(), &answer.Response.Header),
 		Body:   append([]byte(nil), answer.Response.Body()...),
 	}
 	if retained.Size() > limit {
@@ -67,11 +71,11 @@
 }
 
 // endToEnd copies the fields that are passed on.
-func endToEnd(h *fasthttp.ResponseHeader) []model.Field {
+func endToEnd(d wire.Dialect, h *fasthttp.ResponseHeader) []model.Field {
 	listed := wire.ConnectionOf(h.All())
 	var fields []model.Field
 	for name, value := range h.All() {
-		if listed.IsEndToEnd(name) {
+		if listed.IsEndToEnd(d, name) {
 			fields = append(fields, model.Field{Name: string(name), Value: string(value)})
 		}
 	}
--- a/host/backend/transport.go
+++ b/host/backend/transport.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/wire"
 )
 
 // WholeAnswer is the size in bytes up to which an answer is read whole before
@@ -30,6 +31,8 @@
 	IdlePerServer int
 	// MaxHeader bounds the header of an answer, in bytes. Default 16 KiB.
 	MaxHeader int
+	// Dialect is how servers spell the fleet's fields. Default: wire.Own.
+	Dialect wire.Dialect
 }
 
 func (o Options) withDefaults() Options {
@@ -45,6 +48,7 @@
 	if o.MaxHeader <= 0 {
 		o.MaxHeader = 16 << 10
 	}
+	o.Dialect = o.Dialect.OrOwn()
 	return o
 }
 
@@ -101,7 +105,7 @@
 		Timeout:  t.options.DialTimeout,
 		Deadline: deadline,
 	}
-	c, err := dialer.Dial("tcp", string(server))
+	c, err := dialer.Dial("tcp", server.Address())
 	if err != nil {
 		return nil, err
 	}
--- a/host/cmd/pollensail/main.go
+++ b/host/cmd/pollensail/main.go
@@ -13,6 +13,7 @@
 	"pollensail.dev/host/process"
 	"pollensail.dev/host/settings"
 	"pollensail.dev/host/telemetry"
+	"pollensail.dev/platform"
 )
 
 func main() {
@@ -49,9 +50,13 @@
 	if err != nil {
 		return err
 	}
-	logger := telemetry.NewLogger(os.Stderr, s.Log.Level)
+	around, err := environment(s)
+	if err != nil {
+		return &settings.Error{File: file, Problem: err.Error()}
+	}
+	logger := telemetry.NewLogger(os.Stdout, s.Log.Level)
 	defer logger.Close()
-	p, err := process.New(s, logger)
+	p, err := process.New(s, around, logger)
 	if err != nil {
 		return &settings.Error{File: file, Problem: err.Error()}
 	}
@@ -59,6 +64,14 @@
 	return p.Run(ctx, stop)
 }
 
+// environment returns what surrounds the host by the protocol of its settings.
+func environment(s settings.Settings) (process.Environment, error) {
+	if s.Store.Protocol == settings.ProtocolPlatform {
+		return platform.New(s)
+	}
+	return process.Own(s), nil
+}
+
 // signals returns a context that ends with the second signal and one that ends
 // with the first.
 func signals() (ctx, stop context.Context) {
--- a/host/control/loop.go
+++ b/host/control/loop.go
@@ -48,7 +48,7 @@
 	adapters Adapters
 	events   chan event.Body
 	done     chan struct{}
-	start    time.Time
+	start    model.Instant // on the clock of sinceBoot
 	timer    *time.Timer
 }
 
@@ -61,7 +61,7 @@
 		state:  decision.NewState(),
 		events: make(chan event.Body, eventBacklog),
 		done:   make(chan struct{}),
-		start:  time.Now(),
+		start:  sinceBoot(),
 		timer:  timer,
 	}
 }
@@ -81,11 +81,11 @@
 }
 
 // Now returns the process's time as the reducer sees it.
-func (l *Loop) Now() model.Instant { return model.Instant(time.Since(l.start)) }
+func (l *Loop) Now() model.Instant { return sinceBoot() - l.start }
 
 // Time returns the wall-clock time of an instant of this process, with a
 // monotonic reading.
-func (l *Loop) Time(at model.Instant) time.Time { return l.start.Add(time.Duration(at)) }
+func (l *Loop) Time(at model.Instant) time.Time { return time.Now().Add(at.Sub(l.Now())) }
 
 // Run runs the reducer until it emits effect.Exit, which returns nil, or until
 // ctx ends.
--- a/host/frontend/answer.go
+++ b/host/frontend/answer.go
@@ -19,7 +19,7 @@
 		return
 	}
 	out := &x.ctx.Response
-	copyHeader(out, &x.answer.Response)
+	copyHeader(out, &x.answer.Response, x.dialect())
 	x.setOwnFields(model.Ran)
 	if x.answer.Streaming() {
 		x.deliverStream(out)
@@ -41,11 +41,11 @@
 
 // copyHeader copies status and end-to-end fields. The length of a body that
 // is not sent (HEAD) is passed on as a plain field.
-func copyHeader(out, in *fasthttp.Response) {
+func copyHeader(out, in *fasthttp.Response, d wire.Dialect) {
 	out.SetStatusCode(in.StatusCode())
 	listed := wire.ConnectionOf(in.Header.All())
 	for name, value := range in.Header.All() {
-		if listed.IsEndToEnd(name) {
+		if listed.IsEndToEnd(d, name) {
 			out.Header.AddBytesKV(name, value)
 		}
 	}
@@ -57,10 +57,14 @@
 // setOwnFields sets the fields that every answer has.
 func (x *exchange) setOwnFields(verdict model.Verdict) {
 	header := &x.ctx.Response.Header
-	header.Set(wire.Verdict, verdict.String())
-	header.Set(wire.RequestID, x.name)
+	if field := x.dialect().Verdict; field != "" {
+		header.Set(field, verdict.String())
+	}
+	header.Set(x.dialect().RequestID, x.name)
 }
 
+func (x *exchange) dialect() wire.Dialect { return x.frontend.options.Dialect }
+
 // replay sends a retained answer.
 func (x *exchange) replay(answer model.Answer) {
 	out := &x.ctx.Response
--- a/host/frontend/exchange.go
+++ b/host/frontend/exchange.go
@@ -77,6 +77,9 @@
 		effects:  make(chan effect.Effect, effectBacklog),
 	}
 	x.id, x.name = f.nextID()
+	if name := f.callersID(&ctx.Request.Header); name != "" {
+		x.name = name
+	}
 	if f.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -90,6 +93,22 @@
 	x.serve(arrived)
 }
 
+// maxRequestID bounds a caller's request id, in bytes.
+const maxRequestID = 128
+
+// callersID returns the id that the caller gave its request, empty where it is
+// not to be kept.
+func (f *Frontend) callersID(h *fasthttp.RequestHeader) string {
+	if !f.options.Dialect.KeepsRequestID {
+		return ""
+	}
+	id := h.Peek(f.options.Dialect.RequestID)
+	if len(id) > maxRequestID {
+		return ""
+	}
+	return string(id)
+}
+
 // serve posts the request and carries out its effects until one of them
 // answers it.
 func (x *exchange) serve(arrived event.RequestArrived) {
@@ -161,11 +180,11 @@
 	})
 }
 
-// watched makes an attempt that ends when the caller leaves. Where the answer
-// is to be retained the attempt goes on, because the caller's retry needs it.
+// watched makes an attempt that ends when the caller leaves, where that is
+// wanted.
 func (x *exchange) watched(a backend.Attempt) (model.AttemptResult, *backend.Answer) {
 	caller, ok := x.ctx.Conn().(*callerConn)
-	if !ok || a.Forward.RetainAnswer > 0 {
+	if !ok || !a.Forward.Cancellable {
 		return x.frontend.transport.Do(a)
 	}
 	w := startWatch(caller)
--- a/host/frontend/forward.go
+++ b/host/frontend/forward.go
@@ -18,7 +18,7 @@
 	out.Header.SetNoDefaultContentType(true)
 	out.Header.SetMethodBytes(in.Header.Method())
 	out.Header.SetRequestURIBytes(forwardTarget(t, hidden))
-	copyFields(&out.Header, &in.Header, hidden)
+	copyFields(&out.Header, &in.Header, hidden, x.dialect())
 	out.SetBodyRaw(body)
 	if hidden.isIn(out.Header.Header()) {
 		// A key may have separators of its own and reach across parts.
@@ -28,7 +28,7 @@
 }
 
 func misplacedKey() *badRequest {
-	return malformed("the client account key may only be in " + wire.Authorization + " or " + wire.APIKey)
+	return malformed("the client account key may only be in " + wire.Authorization + " or a field for keys")
 }
 
 // isInFixedPart reports whether the key is in a part of the request that
@@ -56,10 +56,10 @@
 	return append(out, query...)
 }
 
-func copyFields(out, in *fasthttp.RequestHeader, hidden secret) {
+func copyFields(out, in *fasthttp.RequestHeader, hidden secret, d wire.Dialect) {
 	listed := wire.ConnectionOf(in.All())
 	for name, value := range in.All() {
-		if !listed.IsEndToEnd(name) || isCredential(name) || hidden.isInName(name) {
+		if !listed.IsEndToEnd(d, name) || isCredential(d, name) || hidden.isInName(name) {
 			continue
 		}
 		if wire.EqualFold(name, "Cookie") {
@@ -76,6 +76,7 @@
 
 // isCredential reports whether a field may carry a key, also one that is not
 // this request's.
-func isCredential(name []byte) bool {
-	return wire.EqualFold(name, wire.Authorization) || wire.EqualFold(name, wire.APIKey)
+func isCredential(d wire.Dialect, name []byte) bool {
+	isAPIKey := d.APIKey != "" && wire.EqualFold(name, d.APIKey)
+	return isAPIKey || wire.EqualFold(name, wire.Authorization)
 }
--- a/host/frontend/frontend.go
+++ b/host/frontend/frontend.go
@@ -16,6 +16,7 @@
 	"pollensail.dev/decision/model"
 	"pollensail.dev/host/backend"
 	"pollensail.dev/host/socket"
+	"pollensail.dev/host/wire"
 )
 
 // Loop is the control loop. *control.Loop implements it.
@@ -47,6 +48,9 @@
 	// IdleTimeout is how long a connection may wait for its next request.
 	// Default 60 s.
 	IdleTimeout time.Duration
+	// Dialect is how callers and servers spell the fleet's fields. Default:
+	// wire.Own.
+	Dialect wire.Dialect
 }
 
 func (o Options) withDefaults() Options {
@@ -56,6 +60,7 @@
 	setDefault(&o.ReadTimeout, 10*time.Second)
 	setDefault(&o.WriteTimeout, 10*time.Second)
 	setDefault(&o.IdleTimeout, 60*time.Second)
+	o.Dialect = o.Dialect.OrOwn()
 	return o
 }
 
@@ -158,10 +163,5 @@
 // nextID returns a new request id and its form in header fields.
 func (f *Frontend) nextID() (model.RequestID, string) {
 	id := model.RequestID(f.lastID.Add(1))
-	return id, f.RequestName(id)
-}
-
-// RequestName returns a request's id as callers and backend servers see it.
-func (f *Frontend) RequestName(id model.RequestID) string {
-	return f.idPrefix + strconv.FormatUint(uint64(id), 16)
+	return id, f.idPrefix + strconv.FormatUint(uint64(id), 16)
 }
--- a/host/frontend/key.go
+++ b/host/frontend/key.go
@@ -10,11 +10,11 @@
 
 // readKey returns the client account key, nil where there is none. The result
 // refers to the header.
-func readKey(h *fasthttp.RequestHeader) ([]byte, *badRequest) {
+func readKey(d wire.Dialect, h *fasthttp.RequestHeader) ([]byte, *badRequest) {
 	var c credentials
 	for name, value := range h.All() {
 		switch {
-		case wire.EqualFold(name, wire.APIKey):
+		case d.APIKey != "" && wire.EqualFold(name, d.APIKey):
 			c.add(value)
 		case wire.EqualFold(name, wire.Authorization):
 			c.addAuthorization(value)
--- a/host/frontend/refusal.go
+++ b/host/frontend/refusal.go
@@ -30,6 +30,7 @@
 var answersTo = map[model.Reason]answerTo{
 	model.ReasonNotReady:            {503, "no configuration is in force yet"},
 	model.ReasonIsolated:            {503, "this host is cut off from the fleet"},
+	model.ReasonKeysUnconfirmed:     {503, "it cannot be told whether the client account key is still valid"},
 	model.ReasonStopping:            {503, "this host is stopping"},
 	model.ReasonNoRoute:             {404, "no route matches the path"},
 	model.ReasonMethod:              {405, "the route does not allow the method"},
@@ -69,16 +70,20 @@
 func (x *exchange) refuse(e effect.Refuse) {
 	x.releaseAnswer()
 	if e.RetryAfter > 0 {
-		x.ctx.Response.Header.Set(wire.RetryAfter, wholeSeconds(e.RetryAfter))
+		x.ctx.Response.Header.Set(wire.RetryAfter, seconds(x.dialect(), e.RetryAfter))
 	}
 	x.writeRefusal(e.Reason, e.Verdict, answerOf(e.Reason))
 	x.expect(len(x.ctx.Response.Body()), nil)
 }
 
-// wholeSeconds rounds up, so that no caller comes back too early.
-func wholeSeconds(d model.Instant) string {
-	seconds := (time.Duration(d) + time.Second - 1) / time.Second
-	return strconv.FormatInt(int64(seconds), 10)
+// seconds rounds up, so that no caller comes back too early.
+func seconds(dialect wire.Dialect, d model.Instant) string {
+	if dialect.FractionalSeconds {
+		ms := (time.Duration(d) + time.Millisecond - 1) / time.Millisecond
+		return strconv.FormatFloat(float64(ms)/1000, 'f', 3, 64)
+	}
+	whole := (time.Duration(d) + time.Second - 1) / time.Second
+	return strconv.FormatInt(int64(whole), 10)
 }
 
 // refuseStopping answers a request for which no effect will come.
@@ -110,9 +115,10 @@
 	if err != nil {
 		body = nil
 	}
-	x.ctx.SetStatusCode(answer.status)
+	status := x.dialect().Status(answer.status, verdict)
+	x.ctx.SetStatusCode(status)
 	x.ctx.SetContentType("application/json")
-	if answer.status == fasthttp.StatusUnauthorized {
+	if status == fasthttp.StatusUnauthorized {
 		x.ctx.Response.Header.Set("WWW-Authenticate", "Bearer")
 	}
 	x.setOwnFields(verdict)
--- a/host/frontend/request.go
+++ b/host/frontend/request.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"net"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,7 +33,12 @@
 // request as servers get it.
 func (f *Frontend) read(x *exchange) (event.RequestArrived, *badRequest) {
 	in := &x.ctx.Request
-	arrived := event.RequestArrived{Request: x.id, Method: string(in.Header.Method())}
+	arrived := event.RequestArrived{
+		Request: x.id,
+		Name:    x.name,
+		Host:    hostName(in.Header.Host()),
+		Method:  string(in.Header.Method()),
+	}
 	if bad := checkProtocol(&in.Header); bad != nil {
 		return arrived, bad
 	}
@@ -40,11 +47,11 @@
 		return arrived, bad
 	}
 	arrived.Path = target.decoded
-	key, bad := readKey(&in.Header)
+	key, bad := readKey(f.options.Dialect, &in.Header)
 	if bad != nil {
 		return arrived, bad
 	}
-	if bad := readFields(&in.Header, &arrived); bad != nil {
+	if bad := f.readFields(&in.Header, &arrived); bad != nil {
 		return arrived, bad
 	}
 	if bad := x.buildForward(target, key); bad != nil {
@@ -71,8 +78,8 @@
 }
 
 // readFields reads the fields that concern the reducer.
-func readFields(h *fasthttp.RequestHeader, arrived *event.RequestArrived) *badRequest {
-	timeout, bad := readTimeout(h)
+func (f *Frontend) readFields(h *fasthttp.RequestHeader, arrived *event.RequestArrived) *badRequest {
+	timeout, bad := readTimeout(f.options.Dialect, h)
 	if bad != nil {
 		return bad
 	}
@@ -81,14 +88,14 @@
 	return bad
 }
 
-func readTimeout(h *fasthttp.RequestHeader) (time.Duration, *badRequest) {
-	value, found, same := single(h, wire.Timeout)
+func readTimeout(d wire.Dialect, h *fasthttp.RequestHeader) (time.Duration, *badRequest) {
+	value, found, same := single(h, d.Timeout)
 	if !found {
 		return 0, nil
 	}
-	timeout, err := wire.ParseTimeout(value)
+	timeout, err := d.ParseTimeout(value)
 	if err != nil || !same {
-		return 0, malformed(wire.Timeout + " must be one duration of at most " + wire.MaxTimeout.String())
+		return 0, malformed(d.Timeout + " must be one duration of at most " + wire.MaxTimeout.String())
 	}
 	return timeout, nil
 }
@@ -122,6 +129,15 @@
 	return value, found, same
 }
 
+// hostName returns the name in a Host field: in lower case, without the port.
+func hostName(field []byte) string {
+	name := strings.ToLower(string(field))
+	if host, _, err := net.SplitHostPort(name); err == nil {
+		return host
+	}
+	return name
+}
+
 // fingerprint is taken of what servers get, so that a key in another place
 // makes no other request.
 func fingerprint(r *fasthttp.Request) model.Fingerprint {
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -20,11 +20,13 @@
 	"pollensail.dev/host/settings"
 	"pollensail.dev/host/store"
 	"pollensail.dev/host/telemetry"
+	"pollensail.dev/host/wire"
 )
 
 // Process is one life of an entry host. Make it with New.
 type Process struct {
 	settings  settings.Settings
+	around    Environment
 	logger    *telemetry.Logger
 	self      model.HostRef
 	loop      *control.Loop
@@ -37,7 +39,7 @@
 
 // New opens the listeners of a process that has not started. Its errors say
 // what in the settings cannot be used.
-func New(s settings.Settings, logger *telemetry.Logger) (*Process, error) {
+func New(s settings.Settings, around Environment, logger *telemetry.Logger) (*Process, error) {
 	identity, err := peer.LoadIdentity(s.TLS)
 	if err != nil {
 		return nil, err
@@ -53,21 +55,23 @@
 	transport := backend.New(loop, backend.Options{
 		DialTimeout: time.Duration(s.Limits.DialTimeout),
 		MaxHeader:   int(s.Limits.AnswerHeader),
+		Dialect:     around.Dialect,
 	})
 	p := &Process{
 		settings:  s,
+		around:    around,
 		logger:    logger,
 		self:      model.HostRef{ID: s.Host, Incarnation: newIncarnation()},
 		loop:      loop,
 		transport: transport,
-		frontend:  frontend.New(loop, transport, frontendOptions(s.Limits)),
+		frontend:  frontend.New(loop, transport, frontendOptions(s.Limits, around.Dialect)),
 		identity:  identity,
 		listeners: l,
 	}
 	return p, nil
 }
 
-func frontendOptions(l settings.Limits) frontend.Options {
+func frontendOptions(l settings.Limits, d wire.Dialect) frontend.Options {
 	return frontend.Options{
 		Connections:  l.Connections,
 		MaxHeader:    int(l.RequestHeader),
@@ -75,6 +79,7 @@
 		ReadTimeout:  time.Duration(l.ReadTimeout),
 		WriteTimeout: time.Duration(l.WriteTimeout),
 		IdleTimeout:  time.Duration(l.IdleTimeout),
+		Dialect:      d,
 	}
 }
 
@@ -99,7 +104,9 @@
 	p.connect(running, group)
 	p.logStart()
 	group.Go(func() error { return p.serveCallers(running) })
-	group.Go(func() error { return p.observer.Serve(running, p.listeners.operator, p.loop) })
+	for _, listener := range p.listeners.observed() {
+		group.Go(func() error { return p.observer.Serve(running, listener, p.loop) })
+	}
 	group.Go(func() error { return p.awaitStop(running, stop) })
 	group.Go(func() error {
 		defer cancel()
@@ -129,25 +136,35 @@
 		Loop:        p.loop,
 		Log:         logger,
 	})
-	platform := store.NewHTTP(string(p.settings.Store.Address))
 	timeout := time.Duration(p.settings.Store.Timeout)
-	p.observer = telemetry.New(logger, p.frontend.RequestName, p.sources(peers)...)
+	p.observer = telemetry.New(logger, p.sources(peers)...)
 	p.loop.Connect(control.Adapters{
 		Traffic:  traffic{p.frontend, p.loop},
 		Peers:    peers,
-		Store:    store.NewCaller(ctx, platform, p.loop, timeout, logger),
+		Store:    store.NewCaller(ctx, p.around.Records, p.loop, timeout, logger),
 		Observer: p.observer,
 	})
-	hosts := store.HostList{
-		Store: platform, Loop: p.loop, Timeout: timeout, Log: logger, Listed: peers.SetHosts,
+	task := DirectoryTask{
+		Self: p.entry(), Post: p.loop.Post, Timeout: timeout, Log: logger, Listed: peers.SetHosts,
 	}
 	group.Go(func() error { return peers.Serve(ctx, p.listeners.peer) })
-	group.Go(func() error { return hosts.Run(ctx) })
+	group.Go(func() error { return p.around.Directory.Run(ctx, task) })
+}
+
+// entry is this host's entry in the list of hosts.
+func (p *Process) entry() model.HostEntry {
+	return model.HostEntry{
+		ID:       string(p.self.ID),
+		Role:     model.RoleEntry,
+		Domain:   p.settings.Domain,
+		Peer:     p.listeners.peer.Addr().String(),
+		Operator: p.listeners.operator.Addr().String(),
+	}
 }
 
 // sources are the counts of the adapters for /metrics.
 func (p *Process) sources(peers *peer.Peers) []telemetry.Source {
-	return append(peers.Sources(),
+	return append(append(peers.Sources(), p.around.Sources...),
 		telemetry.Source{
 			Name: "requests_unread_total",
 			Help: "Requests refused unread: malformed, too large or too slow.",
@@ -208,6 +225,15 @@
 // listeners are the ports of a process.
 type listeners struct {
 	caller, peer, operator net.Listener
+	metrics                net.Listener // nil: none
+}
+
+// observed are the ports that show the state of the host.
+func (l listeners) observed() []net.Listener {
+	if l.metrics == nil {
+		return []net.Listener{l.operator}
+	}
+	return []net.Listener{l.operator, l.metrics}
 }
 
 func listen(l settings.Listen) (listeners, error) {
@@ -220,7 +246,11 @@
 		{"caller", l.Caller, &opened.caller},
 		{"peer", l.Peer, &opened.peer},
 		{"operator", l.Operator, &opened.operator},
+		{"metrics", l.Metrics, &opened.metrics},
 	} {
+		if port.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", string(port.address))
 		if err != nil {
 			return opened, merry.Prependf(err, "listen.%s", port.name)
--- a/host/process/process_test.go
+++ b/host/process/process_test.go
@@ -96,7 +96,7 @@
 	c.Assert(err, qt.IsNil)
 	logger := telemetry.NewLogger(io.Discard, "error")
 	c.Cleanup(func() { logger.Close() })
-	return New(s, logger)
+	return New(s, Own(s), logger)
 }
 
 // platform is a stand-in store with a tree of one account whose few tokens are
--- a/host/settings/load.go
+++ b/host/settings/load.go
@@ -105,6 +105,12 @@
 	if key, problem := s.TLS.check(); key != "" {
 		return key, problem
 	}
+	if p := s.Store.Protocol; p != ProtocolOwn && p != ProtocolPlatform {
+		return "store.protocol", expected(p, `"own" or "platform"`).Error()
+	}
+	if s.Store.Protocol == ProtocolPlatform && len(s.Platform.Domains) == 0 {
+		return "platform.domains", "missing, expected the failure domains of the fleet"
+	}
 	if s.Limits.Connections < 1 {
 		return "limits.connections", "expected a number of at least 1"
 	}
--- a/host/settings/load_test.go
+++ b/host/settings/load_test.go
@@ -49,7 +49,7 @@
 func TestParseErrors(t *testing.T) {
 	c := qt.New(t)
 	cases := []struct{ old, new, want string }{
-		{`host = "h1"`, `hots = "h1"`, `p.toml:1: hots: unknown key, expected one of host, domain, listen, store, tls, limits, stop, log`},
+		{`host = "h1"`, `hots = "h1"`, `p.toml:1: hots: unknown key, expected one of host, domain, listen, store, platform, tls, limits, stop, log`},
 		{`[limits]`, "[limits]\nbody = 3", `p.toml:17: limits.body: unknown key, expected one of connections, .* in \[limits\]`},
 		{`[limits]`, "[limit]", `p.toml:16: limit: unknown key, expected one of host, .*`},
 		{`[limits]`, "[log]\nlevel = \"loud\"\n[limits]", `p.toml:17: log.level: got "loud", expected debug, info, warn or error`},
--- a/host/settings/settings.go
+++ b/host/settings/settings.go
@@ -13,10 +13,12 @@
 	Domain model.DomainID `toml:"domain"` // required, the failure domain
 	Listen Listen         `toml:"listen"`
 	Store  Store          `toml:"store"`
-	TLS    TLS            `toml:"tls"`
-	Limits Limits         `toml:"limits"`
-	Stop   Stop           `toml:"stop"`
-	Log    Log            `toml:"log"`
+	// Platform is read where Store.Protocol is ProtocolPlatform.
+	Platform Platform `toml:"platform"`
+	TLS      TLS      `toml:"tls"`
+	Limits   Limits   `toml:"limits"`
+	Stop     Stop     `toml:"stop"`
+	Log      Log      `toml:"log"`
 }
 
 // Stop says how a planned stop proceeds.
@@ -27,17 +29,34 @@
 }
 
 // Listen holds the addresses, as "ip:port", on which the process listens. All
-// are required. Port 0 takes any free port.
+// but Metrics are required. Port 0 takes any free port.
 type Listen struct {
 	Caller   Address `toml:"caller"`
 	Peer     Address `toml:"peer"`
 	Operator Address `toml:"operator"`
+	// Metrics is one more address that answers like the operator port; empty:
+	// none.
+	Metrics Address `toml:"metrics"`
 }
 
 // Store says where the platform's store is.
 type Store struct {
-	Address Address  `toml:"address"` // required
-	Timeout Duration `toml:"timeout"` // of one call; default 1s
+	Address  Address  `toml:"address"`  // required
+	Timeout  Duration `toml:"timeout"`  // of one call; default 1s
+	Protocol string   `toml:"protocol"` // "own" or "platform"; default own
+}
+
+// The protocols of a store, with which go those of callers and backend servers.
+const (
+	ProtocolOwn      = "own"
+	ProtocolPlatform = "platform"
+)
+
+// Platform is what a host on the users' platform learns from its settings
+// instead of from the tree.
+type Platform struct {
+	Domains []string `toml:"domains"` // the fleet's failure domains
+	Bounds  []string `toml:"bounds"`  // "name=value", read by package platform
 }
 
 // TLS names the files for mutual TLS between hosts. Either Insecure is true or
@@ -69,7 +88,7 @@
 
 func defaults() Settings {
 	return Settings{
-		Store: Store{Timeout: Duration(time.Second)},
+		Store: Store{Timeout: Duration(time.Second), Protocol: ProtocolOwn},
 		Limits: Limits{
 			Connections:   10000,
 			RequestHeader: 16 * KiB,
--- a/host/store/caller.go
+++ b/host/store/caller.go
@@ -96,9 +96,10 @@
 func (c *Caller) readRoot() {
 	ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
 	defer cancel()
+	sent := c.loop.Now()
 	root, version, err := c.records.Root(ctx)
 	c.note(err)
-	c.loop.Post(event.RootRead{Root: root, StoreVersion: version, Error: errorKind(err)})
+	c.loop.Post(event.RootRead{Root: root, StoreVersion: version, Error: errorKind(err), SentAt: sent})
 }
 
 // newWatch ends the watch before, if any, so that a process has one watch
@@ -115,12 +116,13 @@
 func (c *Caller) watchRoot(watch context.Context, f effect.WatchRoot) {
 	ctx, cancel := context.WithTimeout(watch, watchTimeout)
 	defer cancel()
+	sent := c.loop.Now()
 	root, version, err := c.records.WatchRoot(ctx, f.After)
 	if watch.Err() != nil {
 		return // replaced by a newer watch, which will answer
 	}
 	c.note(err)
-	c.loop.Post(event.RootRead{Root: root, StoreVersion: version, Error: errorKind(err)})
+	c.loop.Post(event.RootRead{Root: root, StoreVersion: version, Error: errorKind(err), SentAt: sent})
 }
 
 func (c *Caller) readShards(f effect.ReadShards) {
--- a/host/store/hostlist.go
+++ b/host/store/hostlist.go
@@ -36,8 +36,8 @@
 // The reducer hears nothing while the list cannot be read; the log says when
 // that begins and ends.
 type HostList struct {
-	Store   Store
-	Loop    Loop
+	Store   Lister
+	Post    func(event.Body) bool
 	Timeout time.Duration
 	Log     *log.Logger
 	// Listed, when set, also gets each list, before the reducer does. The
@@ -76,7 +76,7 @@
 	if h.Listed != nil {
 		h.Listed(entries)
 	}
-	h.Loop.Post(event.HostsListed{Entries: entries})
+	h.Post(event.HostsListed{Entries: entries})
 	return listPeriod(entries), nil
 }
 
--- a/host/store/hosts.go
+++ b/host/store/hosts.go
@@ -32,11 +32,18 @@
 		if err := h.check(); err != nil {
 			return nil, broken(err)
 		}
-		entries = append(entries, model.HostEntry(h))
+		entries = append(entries, h.entry())
 	}
 	return entries, nil
 }
 
+func (h HostJSON) entry() model.HostEntry {
+	return model.HostEntry{
+		ID: h.ID, Role: h.Role, Domain: h.Domain, Service: h.Service,
+		Peer: h.Peer, Operator: h.Operator, Leaving: h.Leaving, Since: h.Since,
+	}
+}
+
 func (h HostJSON) check() error {
 	switch {
 	case h.ID == "":
--- a/host/store/http.go
+++ b/host/store/http.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -76,7 +75,7 @@
 	return answer.version()
 }
 
-// HostList implements Store.
+// HostList implements Lister.
 func (h *HTTP) HostList(ctx context.Context) ([]model.HostEntry, error) {
 	answer, err := h.do(ctx, http.MethodGet, "/v1/hosts", nil, nil)
 	if err != nil {
@@ -88,25 +87,6 @@
 	return decodeHosts(answer.body)
 }
 
-// Lease implements Store.
-func (h *HTTP) Lease(ctx context.Context, name, holder string, ttl time.Duration) error {
-	body, err := json.Marshal(LeaseRequest{Holder: holder, TTLMillis: ttl.Milliseconds()})
-	if err != nil {
-		return err
-	}
-	answer, err := h.do(ctx, http.MethodPut, "/v1/leases/"+url.PathEscape(name), nil, body)
-	if err != nil {
-		return err
-	}
-	return answer.expect(http.StatusOK)
-}
-
-// LeaseRequest is the body of a PUT on a lease.
-type LeaseRequest struct {
-	Holder    string `json:"holder"`
-	TTLMillis int64  `json:"ttl_ms"`
-}
-
 func (h *HTTP) read(ctx context.Context, path string) ([]byte, uint64, error) {
 	answer, err := h.do(ctx, http.MethodGet, path, nil, nil)
 	if err != nil {
--- a/host/store/store.go
+++ b/host/store/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -28,7 +27,7 @@
 	ErrBroken = merry.Sentinel("store: broken record")
 )
 
-// Store is what the fleet needs of the platform. Errors match ErrConflict,
+// Store holds the records of the fleet. Errors match ErrConflict,
 // ErrUnavailable or ErrTooLarge by errors.Is.
 type Store interface {
 	// Get returns a value and its version; version 0 means that there is none.
@@ -39,11 +38,11 @@
 	// Watch returns the value once its version is greater than after, or the
 	// current one when the platform ends the wait.
 	Watch(ctx context.Context, key string, after uint64) (value []byte, version uint64, err error)
-	// HostList returns the platform's list of hosts and backend servers.
+}
+
+// Lister has the platform's list of hosts and backend servers.
+type Lister interface {
 	HostList(ctx context.Context) ([]model.HostEntry, error)
-	// Lease takes or renews a lease of the platform. It returns ErrConflict
-	// while another holder has it. Ownership of slots does not rest on it.
-	Lease(ctx context.Context, name, holder string, ttl time.Duration) error
 }
 
 // errorKind maps an error of a Store to the reducer's kind. A broken record
--- a/host/store/store_test.go
+++ b/host/store/store_test.go
@@ -102,8 +102,6 @@
 
 	_, err = r.Store.CompareAndSwap(ctx, "large", 0, make([]byte, MaxValue+1))
 	c.Assert(err, qt.ErrorIs, ErrTooLarge)
-	c.Assert(r.Store.Lease(ctx, "l", "a", time.Minute), qt.IsNil)
-	c.Assert(r.Store.Lease(ctx, "l", "b", time.Minute), qt.ErrorIs, ErrConflict)
 }
 
 // TestShardCodec guards against two encodings of equal branches, and against
@@ -177,9 +175,9 @@
 	caller.Call(effect.WatchRoot{})
 	_, err := r.SwapRoot(ctx, 0, root)
 	c.Assert(err, qt.IsNil)
-	c.Assert(posted.next(c), qt.DeepEquals, event.RootRead{Root: root, StoreVersion: 1})
+	c.Assert(posted.next(c), qt.DeepEquals, event.RootRead{Root: root, StoreVersion: 1, SentAt: 5})
 	caller.Call(effect.ReadRoot{})
-	c.Assert(posted.next(c), qt.DeepEquals, event.RootRead{Root: root, StoreVersion: 1})
+	c.Assert(posted.next(c), qt.DeepEquals, event.RootRead{Root: root, StoreVersion: 1, SentAt: 5})
 
 	c.Assert(r.PutShard(ctx, shard), qt.IsNil)
 	forged := configuration.Shard{Hash: "forged", Encoded: shard.Encoded}
@@ -239,7 +237,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() {
-		done <- HostList{Store: p.http, Loop: posted, Timeout: time.Second, Log: &log.Logger{}}.Run(ctx)
+		done <- HostList{Store: p.http, Post: posted.Post, Timeout: time.Second, Log: &log.Logger{}}.Run(ctx)
 	}()
 	c.Assert(posted.next(c), qt.DeepEquals, event.HostsListed{Entries: []model.HostEntry{}})
 	cancel()
--- a/host/telemetry/bench_test.go
+++ b/host/telemetry/bench_test.go
@@ -15,7 +15,7 @@
 func BenchmarkRecord(b *testing.B) {
 	before := heap()
 	logger := NewLogger(io.Discard, "info")
-	o := New(&logger.Logger, requestName)
+	o := New(&logger.Logger)
 	outcomes := make([]effect.Record, MaxAccounts)
 	for i := range outcomes {
 		r := outcome
--- a/host/telemetry/observer.go
+++ b/host/telemetry/observer.go
@@ -14,18 +14,15 @@
 // control.Observer. Make it with New.
 type Observer struct {
 	log     *log.Logger
-	names   func(model.RequestID) string
 	metrics *metrics
 	ready   atomic.Bool
 	queries queries
 }
 
-// New returns an observer that is not ready. names gives a request's id in the
-// form that its caller sees. Close it at the end.
-func New(logger *log.Logger, names func(model.RequestID) string, sources ...Source) *Observer {
+// New returns an observer that is not ready. Close it at the end.
+func New(logger *log.Logger, sources ...Source) *Observer {
 	return &Observer{
 		log:     logger,
-		names:   names,
 		metrics: newMetrics(sources, logger),
 		queries: queries{waiting: make(map[uint64]chan effect.Status)},
 	}
@@ -53,7 +50,7 @@
 	latency := time.Duration(r.Latency)
 	o.metrics.record(r, latency)
 	o.log.Info().
-		Str("request", o.names(r.Request)).
+		Str("request", r.Name).
 		Str("account", string(r.Account)).
 		Str("route", string(r.Route)).
 		Str("service", string(r.Service)).
--- a/host/telemetry/telemetry_test.go
+++ b/host/telemetry/telemetry_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,18 +37,16 @@
 	return w.Code, w.Body.String()
 }
 
-func requestName(id model.RequestID) string { return "p-" + strconv.FormatUint(uint64(id), 16) }
-
 func newObserver(c *qt.C, sources ...Source) (*Observer, *bytes.Buffer, func()) {
 	var output bytes.Buffer
 	logger := NewLogger(&output, "info")
-	o := New(&logger.Logger, requestName, sources...)
+	o := New(&logger.Logger, sources...)
 	c.Cleanup(func() { o.Close() })
 	return o, &output, func() { c.Assert(logger.Close(), qt.IsNil) }
 }
 
 var outcome = model.Outcome{
-	Request: 7, Account: "himal/north", Route: "rings", Service: "filing", Server: "127.0.0.1:1",
+	Request: 7, Name: "p-7", Account: "himal/north", Route: "rings", Service: "filing", Server: "127.0.0.1:1",
 	Class: model.Mutation, Verdict: model.Ran, Result: model.Delivered, Attempts: 1,
 	Latency: model.Instant(1500 * time.Microsecond),
 }
