--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -32,8 +32,9 @@
 	c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	cmd := exec.Command(os.Args[0], "--settings", file)
 	cmd.Env = append(os.Environ(), asCommand+"=1")
-	output, err := cmd.StderrPipe()
+	output, err := cmd.StdoutPipe()
 	c.Assert(err, qt.IsNil)
+	cmd.Stderr = cmd.Stdout // errors of the command line, beside the log
 	c.Assert(cmd.Start(), qt.IsNil)
 	// A command that does not end is killed, and then its exit code is wrong.
 	timer := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
--- a/host/frontend/delivery_test.go
+++ b/host/frontend/delivery_test.go
@@ -116,7 +116,7 @@
 	held := h.hold()
 	conn, _ := send(c, h.address, get)
 	forward := h.forward(<-held).(effect.Forward)
-	forward.RetainAnswer = 100
+	forward.RetainAnswer, forward.Cancellable = 100, false
 	h.frontend.Apply(forward)
 	<-asked
 	_ = conn.Close()
--- a/host/frontend/frontend_test.go
+++ b/host/frontend/frontend_test.go
@@ -75,6 +75,8 @@
 			Server:   h.server,
 			NotAfter: model.Never,
 			Deadline: h.clock.Now().Add(attemptTime),
+
+			Cancellable: true,
 		}
 	case event.AttemptEnded:
 		if body.Result.Shed {
--- a/host/frontend/key_test.go
+++ b/host/frontend/key_test.go
@@ -138,7 +138,7 @@
 		in.Header.Set("Cookie", cookie)
 		in.Header.Set(name, cookie)
 		in.Header.Add("X-Other", query)
-		x := &exchange{ctx: ctx, forward: out}
+		x := &exchange{frontend: New(nil, nil, Options{}), ctx: ctx, forward: out}
 		target, bad := parseTarget([]byte("/a?" + query))
 		if bad != nil || key == "" || x.buildForward(target, []byte(key)) != nil {
 			return
--- a/host/settings/load_test.go
+++ b/host/settings/load_test.go
@@ -38,7 +38,7 @@
 	want := defaults()
 	want.Host, want.Domain = "h1", "d1"
 	want.Listen = Listen{Caller: "127.0.0.1:8080", Peer: "127.0.0.1:0", Operator: "[::1]:9090"}
-	want.Store = Store{Address: "127.0.0.1:7000", Timeout: Duration(250 * time.Millisecond)}
+	want.Store = Store{Address: "127.0.0.1:7000", Timeout: Duration(250 * time.Millisecond), Protocol: ProtocolOwn}
 	want.TLS.Insecure = true
 	want.Limits.RequestBody = 64 * KiB
 	c.Assert(got, qt.DeepEquals, want)
