Bound repeated sends by the fleet's budget

Cause: each host had three retries that accrued with time, whatever the fleet's size, so 36 hosts together sent 169 of 537 requests again where 165 were allowed. A host now saves its part of the fleet's number, earned by its own requests, and starts with none. A send that reached no server costs nothing.

Ruled out: retries accruing with time beside the share, whose sum over hosts is not bounded after restarts.

--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -130,6 +130,12 @@
 	Concurrency int
 	// Queue bounds a host's requests that wait for the service.
 	Queue int
+	// RetryShare is the share of requests, 0 to 1, that may be sent to a second
+	// server.
+	RetryShare float64
+	// RetryExtra is how many requests more all hosts together may send again in
+	// any window; 0: each host has a few of its own.
+	RetryExtra int
 	// ColdRamp is how long a new server's share grows to its full size.
 	ColdRamp time.Duration
 }
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -276,14 +276,60 @@
 // TestRetryBudget guards against retries that multiply the load.
 func TestRetryBudget(t *testing.T) {
 	c := qt.New(t)
-	b := newBudget()
+	b := budget{tokens: minRetries}
+	b.configure(RetryLimits{Share: 0.1})
 	taken := 0
 	for range 1000 {
 		b.request()
-		if b.take(0) {
+		if b.take(0, nil) {
 			taken++
 		}
 	}
 	c.Assert(taken >= 99 && taken <= 104, qt.IsTrue, qt.Commentf("%d retries", taken))
-	c.Assert(b.take(model.Instant(10*time.Second)), qt.IsTrue)
+	c.Assert(b.take(model.Instant(10*time.Second), nil), qt.IsTrue)
+}
+
+// TestBoundedRetries guards against hosts that together send more than the
+// fleet's bound again: pools in which most attempts fail, hosts with different
+// load that come back empty-handed after a kill, fleets in which a host's part
+// is less than one retry.
+func TestBoundedRetries(t *testing.T) {
+	const (
+		extra   = 58
+		share   = 0.2
+		seconds = 120
+		window  = 10
+	)
+	for _, hosts := range []int{3, 36, 300} {
+		c := qt.New(t)
+		rnd := rand.New(rand.NewPCG(uint64(hosts), 1))
+		budgets := make([]budget, hosts)
+		var requests, retries [seconds]int
+		for second := range seconds {
+			for i := range budgets {
+				if second%40 == 0 && (second == 0 || i < hosts/2) {
+					budgets[i] = budget{tokens: minRetries}
+					budgets[i].configure(RetryLimits{Share: share, IsBounded: true, Saved: extra / float64(hosts)})
+				}
+				for range rnd.IntN(1 + 2*i*1000/hosts/hosts) {
+					budgets[i].request()
+					requests[second]++
+					if budgets[i].take(model.Instant(second)*model.Instant(time.Second), rnd) {
+						retries[second]++
+					}
+				}
+			}
+		}
+		used := 0
+		for at := window; at < seconds; at++ {
+			asked, sent := 0, 0
+			for s := at - window; s < at; s++ {
+				asked += requests[s]
+				sent += retries[s]
+			}
+			used = max(used, sent)
+			c.Assert(float64(sent) <= share*float64(asked)+extra, qt.IsTrue, qt.Commentf("%d hosts: %d of %d", hosts, sent, asked))
+		}
+		c.Check(used > 0, qt.IsTrue)
+	}
 }
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -16,6 +16,7 @@
 	Concurrency int           // bulkhead: requests in flight; 0: no limit
 	Queue       int           // requests that wait; 0: none
 	ColdRamp    time.Duration // 0: none
+	Retries     RetryLimits
 }
 
 // Pool is a host's use of one service: its subset of the servers, the
@@ -44,7 +45,7 @@
 	return &Pool{
 		byID:     make(map[model.ServerID]*server),
 		queue:    newQueue(),
-		budget:   newBudget(),
+		budget:   budget{tokens: minRetries},
 		heldFast: estimate.NewQuantile(fastShare),
 	}
 }
@@ -53,6 +54,7 @@
 // their work in flight and get no more.
 func (p *Pool) Configure(limits Limits, subset []Member) {
 	p.limits = limits
+	p.budget.configure(limits.Retries)
 	for _, s := range p.byID {
 		s.inSubset = false
 	}
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -196,6 +196,11 @@
 		Concurrency: service.Concurrency,
 		Queue:       service.Queue,
 		ColdRamp:    service.ColdRamp,
+		Retries: placement.RetryLimits{
+			Share:     service.RetryShare,
+			IsBounded: service.RetryExtra > 0,
+			Saved:     float64(service.RetryExtra) / float64(hosts),
+		},
 	}
 	pool.Configure(limits, usable[:size])
 	s.serveQueue(service.ID)
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -17,6 +17,7 @@
 	queued   bool // waits in the queue of its service
 	onTurn   bool // was taken from the queue just now
 	placedAt model.Instant
+	unsent   int // attempts of which no byte was written
 	// streamed is the result of an attempt whose answer still flows.
 	streamed *model.AttemptResult
 }
@@ -129,17 +130,23 @@
 	return !r.queued
 }
 
+// maxUnsent bounds the servers that a request could not be sent to.
+const maxUnsent = 3
+
 // takeRetry takes one retry from the budget. It reports false when the budget
-// is spent, no other server is left, or the failure is not one of the server.
+// is spent, no other server is left, or the failure is not one of the server. A
+// request that did not reach a server costs no retry.
 func (s *State) takeRetry(r *request, result model.AttemptResult) bool {
-	if r.attempts >= cmp.Or(r.route.Attempts, defaultAttempts) || !isRetried(result) {
-		return false
-	}
 	pool := s.pool(r.service)
-	if pool == nil || !pool.HasOther(r.tried) {
+	if pool == nil || !isRetried(result) || !pool.HasOther(r.tried) {
 		return false
 	}
-	return pool.TakeRetry(s.now)
+	if !reachedServer(result) {
+		r.unsent++
+		return r.unsent <= maxUnsent
+	}
+	isLast := r.attempts-r.unsent >= cmp.Or(r.route.Attempts, defaultAttempts)
+	return !isLast && pool.TakeRetry(s.now, s.rand)
 }
 
 func isRetried(result model.AttemptResult) bool {
