Choose servers by trust, and tell every host of each failure

Cause: at any time about 30 % of the servers reset 85 % of their requests for about 9 s, and a host sees one server every 12 s; the coordinator counts five failures within 2 s, which is most of such a time.

Each attempt changes the odds that its server is in a bad time, and each failure goes to all hosts at once. Servers are drawn by the chance that they are good; requests that may run only once are more cautious than those that may be sent again. Services choose between this and the coordinator's ejections by the setting detection.

--- a/decision/configuration/definitions.go
+++ b/decision/configuration/definitions.go
@@ -129,6 +129,12 @@
 	{Setting{Name: "queue", Kind: KindService, Default: "64",
 		Expected: "how many requests of a host wait for the service, at least 0"},
 		func(s *Service, v string) bool { return parseCount(&s.Queue, v, 0, maxCount) }},
+	{Setting{Name: "detection", Kind: KindService, Default: "counted",
+		Expected: `how failing servers are found: "counted" over all hosts by a coordinator, which ejects them, or "shared", each failure told to all hosts`},
+		func(s *Service, v string) bool {
+			s.SharedDetection = v == "shared"
+			return v == "shared" || v == "counted"
+		}},
 	{Setting{Name: "retry_share", Kind: KindService, Default: "10%",
 		Expected: `the share of requests that may be sent to a second server, "0%" to "100%"`},
 		func(s *Service, v string) bool { return parsePercent(&s.RetryShare, v) }},
--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -130,6 +130,10 @@
 	Concurrency int
 	// Queue bounds a host's requests that wait for the service.
 	Queue int
+	// SharedDetection says that hosts tell each other of single failures and
+	// choose servers by trust, for services whose servers get too few requests
+	// for the coordinator's counts. No server is ejected then.
+	SharedDetection bool
 	// RetryShare is the share of requests, 0 to 1, that may be sent to a second
 	// server.
 	RetryShare float64
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -182,6 +182,13 @@
 	TimedOut int
 }
 
+// Sign says what one attempt of the sender says about a server.
+type Sign struct {
+	Service model.ServiceID
+	Server  model.ServerID
+	Sign    model.Sign
+}
+
 // EjectionSet is the whole set of servers of a service that get no ordinary
 // work. It replaces any set with a lower term, or equal term and lower
 // sequence.
@@ -338,6 +345,7 @@
 func (ClaimEndAck) message()       {}
 func (Evidence) message()          {}
 func (EjectionSet) message()       {}
+func (Sign) message()              {}
 func (ConfigOffer) message()       {}
 func (ShardAsk) message()          {}
 func (Shards) message()            {}
--- a/decision/placement/load_test.go
+++ b/decision/placement/load_test.go
@@ -75,7 +75,7 @@
 	id := f.nextID
 	deadline := f.now.Add(800 * time.Millisecond)
 	start := func() {
-		server, ok := f.pool.Take(f.now, f.rnd, nil)
+		server, ok := f.pool.Take(f.now, f.rnd, Demand{})
 		if !ok {
 			return
 		}
@@ -172,7 +172,7 @@
 		p.byID[id].inFlight++
 		p.inFlight++
 	} else {
-		id, _ = p.Take(s.now, s.rnd, nil)
+		id, _ = p.Take(s.now, s.rnd, Demand{})
 	}
 	i := s.index(id)
 	began := s.now
@@ -237,7 +237,7 @@
 			now := model.Instant(0)
 			for b.Loop() {
 				now = now.Add(time.Millisecond)
-				id, _ := p.Take(now, rnd, nil)
+				id, _ := p.Take(now, rnd, Demand{})
 				p.Report(now, id, 2, 6)
 				p.Release(id, 40*time.Millisecond)
 			}
--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -1,32 +1,45 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
 	"pollensail.dev/decision/model"
 )
 
-// maxColdRedraws bounds the draws that the cold ramp may turn down, for pools
-// in which most servers are cold.
-const maxColdRedraws = 4
+// Demand is what a request needs of its server.
+type Demand struct {
+	// Tried are the servers of earlier attempts.
+	Tried []model.ServerID
+	// IsRepeatable says that the request may be sent to another server if this
+	// one fails.
+	IsRepeatable bool
+}
+
+func (d Demand) caution() float64 {
+	if d.IsRepeatable {
+		return repeatableCaution
+	}
+	return onceCaution
+}
 
-// pick returns the server for a request: two random choices among those that
-// are neither avoided, tried before nor busy; if there are none, among all
-// that were not tried; then among all. It returns nil when every server is
-// full.
-func (p *Pool) pick(now model.Instant, rnd *rand.Rand, tried []model.ServerID) *server {
+// pick returns the server for a request: the less loaded of two that are drawn
+// by trust, among those that are neither avoided, tried before nor busy; if
+// there are none, among all that were not tried; then among all. It returns nil
+// when every server is full.
+func (p *Pool) pick(now model.Instant, rnd *rand.Rand, d Demand) *server {
 	p.collect(func(s *server) bool {
-		isTried := slices.Contains(tried, s.ID)
+		isTried := slices.Contains(d.Tried, s.ID)
 		return !isTried && now >= s.avoidUntil && s.load(now, p.limits.Slots) < 1
 	})
 	if len(p.eligible) == 0 {
-		p.collect(func(s *server) bool { return !slices.Contains(tried, s.ID) })
+		p.collect(func(s *server) bool { return !slices.Contains(d.Tried, s.ID) })
 	}
 	if len(p.eligible) == 0 {
 		p.collect(func(*server) bool { return true })
 	}
-	return p.lessLoaded(now, rnd)
+	return p.lessLoaded(now, rnd, d.caution())
 }
 
 // collect gathers the servers of the subset that are not full and match.
@@ -39,35 +52,54 @@
 	}
 }
 
-func (p *Pool) lessLoaded(now model.Instant, rnd *rand.Rand) *server {
-	n := len(p.eligible)
-	if n == 0 {
+func (p *Pool) lessLoaded(now model.Instant, rnd *rand.Rand, caution float64) *server {
+	if len(p.eligible) == 0 {
 		return nil
 	}
-	i := p.draw(now, rnd, n)
+	p.weigh(now, caution)
+	i := p.draw(rnd)
 	first := p.eligible[i]
-	if n == 1 {
+	p.shares[i] = 0
+	if len(p.eligible) == 1 {
 		return first
 	}
-	p.eligible[i] = p.eligible[n-1]
-	second := p.eligible[p.draw(now, rnd, n-1)]
+	second := p.eligible[p.draw(rnd)]
 	if second.load(now, p.limits.Slots) < first.load(now, p.limits.Slots) {
 		return second
 	}
 	return first
 }
 
-// draw returns the index of a random server among the first n eligible ones. A
-// cold one is turned down with a chance that falls linearly over the ramp,
-// which makes its share of the draws grow linearly.
-func (p *Pool) draw(now model.Instant, rnd *rand.Rand, n int) int {
-	i := rnd.IntN(n)
-	for range maxColdRedraws {
-		share := p.eligible[i].share(now, p.limits.ColdRamp)
-		if share >= 1 || rnd.Float64() < share {
-			return i
+// weigh sets the share of the draws that each eligible server gets: less for a
+// cold one and for one that is suspected.
+func (p *Pool) weigh(now model.Instant, caution float64) {
+	p.shares = p.shares[:0]
+	for _, s := range p.eligible {
+		share := s.share(now, p.limits.ColdRamp) * math.Pow(s.suspicion.trust(now), caution)
+		p.shares = append(p.shares, max(share, minShare))
+	}
+}
+
+// minShare keeps each server eligible, however cold or suspected.
+const minShare = 1e-9
+
+// draw returns the index of a random eligible server by the shares.
+func (p *Pool) draw(rnd *rand.Rand) int {
+	total := 0.0
+	for _, share := range p.shares {
+		total += share
+	}
+	point := rnd.Float64() * total
+	last := 0
+	for i, share := range p.shares {
+		if share == 0 {
+			continue
+		}
+		last = i
+		if point < share {
+			break
 		}
-		i = rnd.IntN(n)
+		point -= share
 	}
-	return i
+	return last
 }
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -162,7 +162,7 @@
 func TestQueueEvicts(t *testing.T) {
 	c := qt.New(t)
 	p := warmPool(Limits{Slots: 1, Concurrency: 1, Queue: 4}, 1)
-	_, ok := p.Take(0, rand.New(rand.NewPCG(1, 1)), nil)
+	_, ok := p.Take(0, rand.New(rand.NewPCG(1, 1)), Demand{})
 	c.Assert(ok, qt.IsTrue)
 	wait := func(id model.RequestID, account model.AccountID) Queued {
 		w := Waiting{Request: id, Account: account, Weight: 1, Deadline: model.Never, NotAfter: model.Never}
@@ -184,10 +184,10 @@
 	p := warmPool(Limits{Slots: 1, Concurrency: 1, Queue: 100}, 1)
 	rnd := rand.New(rand.NewPCG(1, 1))
 	for range 50 {
-		id, _ := p.Take(0, rnd, nil)
+		id, _ := p.Take(0, rnd, Demand{})
 		p.Release(id, 100*time.Millisecond)
 	}
-	p.Take(0, rnd, nil)
+	p.Take(0, rnd, Demand{})
 	enqueue := func(id model.RequestID, timeout time.Duration) model.Reason {
 		deadline := model.Instant(0).Add(timeout)
 		w := Waiting{Request: id, Account: "a", Deadline: deadline, NotAfter: deadline}
@@ -215,7 +215,7 @@
 		now := model.Instant(0).Add(time.Duration(percent) * 100 * time.Millisecond)
 		hits := 0
 		for range draws {
-			id, _ := p.Take(now, rnd, nil)
+			id, _ := p.Take(now, rnd, Demand{})
 			if id == members[0].ID {
 				hits++
 			}
@@ -263,7 +263,7 @@
 			rnd := rand.New(rand.NewPCG(3, 3))
 			got := make(map[model.ServerID]bool)
 			for range 60 {
-				id, ok := p.Take(0, rnd, test.tried)
+				id, ok := p.Take(0, rnd, Demand{Tried: test.tried})
 				c.Assert(ok, qt.IsTrue)
 				got[id] = true
 				p.Release(id, time.Millisecond)
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -33,7 +33,8 @@
 	// least.
 	held     estimate.Mean
 	heldFast estimate.Quantile
-	eligible []*server // scratch of Pick
+	eligible []*server // scratch of pick
+	shares   []float64 // of eligible, scratch of pick
 }
 
 // fastShare is the quantile of the holding time below which a request is
@@ -104,11 +105,11 @@
 
 // Take chooses a server and takes a place there and in the bulkhead. It
 // reports false when there is no room.
-func (p *Pool) Take(now model.Instant, rnd *rand.Rand, tried []model.ServerID) (model.ServerID, bool) {
+func (p *Pool) Take(now model.Instant, rnd *rand.Rand, d Demand) (model.ServerID, bool) {
 	if !p.HasRoom() {
 		return "", false
 	}
-	s := p.pick(now, rnd, tried)
+	s := p.pick(now, rnd, d)
 	if s == nil {
 		return "", false
 	}
--- a/decision/placement/server.go
+++ b/decision/placement/server.go
@@ -27,6 +27,7 @@
 	slots      int // that the server reported; 0: the service's
 	reportedAt model.Instant
 	avoidUntil model.Instant
+	suspicion  suspicion
 	inSubset   bool
 }
 
--- /dev/null
+++ b/decision/placement/suspicion.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"pollensail.dev/decision/model"
+)
+
+// A gray server fails most of its work for some seconds, then works again. The
+// belief that a server is in such a time is kept as the logarithm of the odds.
+// Each attempt adds the logarithm of how much likelier its outcome is in a bad
+// time than in a good one; without attempts the belief returns to what is usual.
+// One broken connection is rare at a good server and counts for much, while an
+// ordinary error counts for little.
+const (
+	usualOdds = -3.0 // 1 in 20
+	mostOdds  = 3.0
+	leastOdds = -4.0
+	// suspicionTime is the time constant of the return, about the length of a
+	// bad time.
+	suspicionTime = 8 * time.Second
+)
+
+// weights are what the signs add.
+var weights = [...]float64{
+	model.SignGood:        -1.5,
+	model.SignError:       2.5,
+	model.SignBroken:      5,
+	model.SignSilent:      4,
+	model.SignUnreachable: 5,
+}
+
+// suspicion is the belief about one server. The zero value is the usual one at
+// the start of the process.
+type suspicion struct {
+	above float64 // odds above usualOdds at the instant at
+	at    model.Instant
+}
+
+func (s *suspicion) odds(now model.Instant) float64 {
+	if s.above == 0 {
+		return usualOdds
+	}
+	age := max(0, now.Sub(s.at))
+	return usualOdds + s.above*math.Exp(-age.Seconds()/suspicionTime.Seconds())
+}
+
+// add takes a sign.
+func (s *suspicion) add(now model.Instant, sign model.Sign) {
+	odds := s.odds(now) + weights[sign]
+	s.above = min(max(odds, leastOdds), mostOdds) - usualOdds
+	s.at = now
+}
+
+// trust returns the chance that the server is good.
+func (s *suspicion) trust(now model.Instant) float64 {
+	return 1 / (1 + math.Exp(s.odds(now)))
+}
+
+const (
+	// repeatableCaution and onceCaution are the powers of trust by which servers
+	// are chosen. A request that may be sent again finds out whether a suspected
+	// server works again; one that may run only once goes to the least suspected.
+	repeatableCaution = 2
+	onceCaution       = 6
+	// doubtful is the trust below which a good attempt is worth telling others.
+	doubtful = 0.9
+)
+
+// Observe takes the sign of an attempt at a server, of this host or of another.
+// It reports whether other hosts should know.
+func (p *Pool) Observe(now model.Instant, id model.ServerID, sign model.Sign) bool {
+	s, ok := p.byID[id]
+	if !ok || sign == model.SignNone {
+		return false
+	}
+	wasDoubtful := s.suspicion.trust(now) < doubtful
+	s.suspicion.add(now, sign)
+	return sign.IsShared() && (sign != model.SignGood || wasDoubtful)
+}
+
+// Trust returns the chance that a server is good, 1 for an unknown one.
+func (p *Pool) Trust(now model.Instant, id model.ServerID) float64 {
+	s, ok := p.byID[id]
+	if !ok {
+		return 1
+	}
+	return s.suspicion.trust(now)
+}
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -87,6 +87,8 @@
 		s.onEvidence(from, m)
 	case message.EjectionSet:
 		s.onEjectionSet(from, m)
+	case message.Sign:
+		s.onSign(m)
 	case message.ConfigOffer:
 		s.onConfigOffer(from, m)
 	case message.ShardAsk:
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -68,6 +68,10 @@
 	if pool == nil {
 		return
 	}
+	if s.snapshot.Services[service].SharedDetection {
+		s.takeSign(r, pool, result)
+		return
+	}
 	monitor := s.monitor(service)
 	monitor.Observe(s.now, health.Attempt{
 		Server:  r.server,
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -34,7 +34,7 @@
 	if !wasQueued && pool.QueueLength() > 0 {
 		return s.enqueue(r, pool, r.attempts > 0)
 	}
-	server, ok := pool.Take(s.now, s.rand, r.tried)
+	server, ok := pool.Take(s.now, s.rand, s.demand(r))
 	if !ok {
 		return s.enqueue(r, pool, wasQueued || r.attempts > 0)
 	}
@@ -47,6 +47,17 @@
 	return stepNext
 }
 
+// demand returns what a request needs of its server.
+func (s *State) demand(r *request) placement.Demand {
+	return placement.Demand{
+		Tried:        r.tried,
+		IsRepeatable: r.route.Idempotent && r.attempts-r.unsent+1 < r.mostAttempts(),
+	}
+}
+
+// mostAttempts returns how many servers the request may be sent to.
+func (r *request) mostAttempts() int { return cmp.Or(r.route.Attempts, defaultAttempts) }
+
 // enqueue makes the request wait for a place. front is for a request that was
 // started or in turn before.
 func (s *State) enqueue(r *request, pool *placement.Pool, front bool) step {
@@ -145,7 +156,7 @@
 		r.unsent++
 		return r.unsent <= maxUnsent
 	}
-	isLast := r.attempts-r.unsent >= cmp.Or(r.route.Attempts, defaultAttempts)
+	isLast := r.attempts-r.unsent >= r.mostAttempts()
 	return !isLast && pool.TakeRetry(s.now, s.rand)
 }
 
--- a/host/peer/envelope.go
+++ b/host/peer/envelope.go
@@ -64,6 +64,7 @@
 	plain[message.HandoverAck](),
 	plain[message.HandoverCommit](),
 	plain[message.HandoverCommitAck](),
+	plain[message.Sign](),
 }
 
 // plain is the kind of a message that travels as it is.
