Reload settings on SIGHUP

Log level and planned stop are reloaded, the log names what needs a new start; settings that cannot be used change nothing.

--- a/host/cmd/pollensail/main.go
+++ b/host/cmd/pollensail/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
 	"pollensail.dev/host/process"
@@ -34,7 +35,8 @@
 		Short: "Serve callers as an entry host of the fleet",
 		Long: `Serves callers by the operators' tree of settings until SIGTERM or SIGINT,
 which begins a planned stop: requests in flight are finished and slots are
-handed over. A second signal ends the process at once.`,
+handed over. A second signal ends the process at once. SIGHUP reads the settings
+again; the log says which changes need a new start.`,
 		Example:      `  pollensail --settings host-a1.toml`,
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
@@ -61,9 +63,30 @@
 		return &settings.Error{File: file, Problem: err.Error()}
 	}
 	ctx, stop := signals()
+	go reloadOnHangup(ctx, file, p, &logger.Logger)
 	return p.Run(ctx, stop)
 }
 
+// reloadOnHangup reads the settings again at each SIGHUP. Settings that cannot
+// be used change nothing.
+func reloadOnHangup(ctx context.Context, file string, p *process.Process, logger *log.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	for {
+		select {
+		case <-hangup:
+		case <-ctx.Done():
+			return
+		}
+		s, err := settings.Load(file)
+		if err != nil {
+			logger.Error().Err(err).Msg("settings cannot be used; those in force stay")
+			continue
+		}
+		p.Reload(s)
+	}
+}
+
 // environment returns what surrounds the host by the protocol of its settings.
 func environment(s settings.Settings) (process.Environment, error) {
 	if s.Store.Protocol == settings.ProtocolPlatform {
--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -74,6 +74,27 @@
 	c.Assert(cmd.ProcessState.ExitCode(), qt.Equals, 1)
 }
 
+// TestHangup guards against a process that SIGHUP ends, and against settings
+// that are put into force though they cannot be used.
+func TestHangup(t *testing.T) {
+	c := qt.New(t)
+	cmd, lines := start(c, whole)
+	file := cmd.Args[2]
+	awaitLine(c, lines, "host started")
+	for _, tc := range []struct{ text, want string }{
+		{strings.Replace(whole, `"1h"`, `"2h"`, 1), `"changed":"stop","need_start":"","message":"settings reloaded"`},
+		{strings.Replace(whole, `"127.0.0.1:1"`, `"127.0.0.1:2"`, 1), `"need_start":"store","message":"settings reloaded"`},
+		{"host = 1", "settings cannot be used; those in force stay"},
+		{whole, "settings reloaded"},
+	} {
+		c.Assert(os.WriteFile(file, []byte(tc.text), 0o600), qt.IsNil)
+		c.Assert(cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+		awaitLine(c, lines, tc.want)
+	}
+	c.Assert(cmd.Process.Kill(), qt.IsNil)
+	_ = cmd.Wait() // it was killed
+}
+
 // TestUnusableSettings guards against settings that cannot be used and do not
 // end the start with exit code 2, the file and the key.
 func TestUnusableSettings(t *testing.T) {
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -25,7 +26,9 @@
 
 // Process is one life of an entry host. Make it with New.
 type Process struct {
-	settings  settings.Settings
+	mu       sync.Mutex // guards what Reload changes in settings
+	settings settings.Settings
+
 	around    Environment
 	logger    *telemetry.Logger
 	self      model.HostRef
@@ -218,7 +221,7 @@
 	}
 	p.logger.Info().Msg("planned stop begins")
 	p.frontend.BeginStop()
-	p.loop.Post(event.StopRequested{BalancerDelay: time.Duration(p.settings.Stop.BalancerDelay)})
+	p.loop.Post(event.StopRequested{BalancerDelay: time.Duration(p.stop().BalancerDelay)})
 	return nil
 }
 
