Watch callers from the arrival of their requests

The watch now covers the whole exchange and tells the reducer, which begins no attempt for a caller that is gone.

--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -50,6 +50,10 @@
 	Result  model.AttemptResult
 }
 
+// CallerLeft says that the caller closed its connection before it had an
+// answer. AnswerSent still follows.
+type CallerLeft struct{ Request model.RequestID }
+
 // AnswerSent says that the answer was handed to the caller's connection.
 type AnswerSent struct {
 	Request  model.RequestID
@@ -141,6 +145,7 @@
 func (Started) event()         {}
 func (RequestArrived) event()  {}
 func (AttemptEnded) event()    {}
+func (CallerLeft) event()      {}
 func (AnswerSent) event()      {}
 func (TimerFired) event()      {}
 func (PeerReceived) event()    {}
--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -28,6 +28,7 @@
 	ReasonServerFailed        Reason = "server_failed"        // the attempt failed
 	ReasonTimedOut            Reason = "timed_out"            // the deadline passed
 	ReasonBadAnswer           Reason = "bad_answer"           // truncated or crossed answer
+	ReasonCallerLeft          Reason = "caller_left"          // the caller closed its connection
 	ReasonTooLarge            Reason = "too_large"            // a size limit of the front end
 	ReasonMalformed           Reason = "malformed"            // not a valid request
 	ReasonInternal            Reason = "internal"             // a fault of this process
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -31,6 +31,8 @@
 		s.onRequestArrived(b)
 	case event.AttemptEnded:
 		s.onAttemptEnded(b)
+	case event.CallerLeft:
+		s.onCallerLeft(b)
 	case event.AnswerSent:
 		s.onAnswerSent(b)
 	case event.TimerFired:
--- a/decision/request.go
+++ b/decision/request.go
@@ -40,6 +40,7 @@
 	result   model.Result
 	reason   model.Reason
 	notAfter model.Instant // set by admission and claims; Never without limits
+	left     bool          // the caller has left; no attempt begins any more
 
 	placing
 	admission
@@ -264,7 +265,7 @@
 func (s *State) mayRetry(r *request, result model.AttemptResult) bool {
 	isSafe := r.verdict == model.NotRun || r.route.Idempotent
 	isInTime := s.now < r.deadline && s.now < r.notAfter
-	if !isSafe || !isInTime {
+	if !isSafe || !isInTime || r.left {
 		return false
 	}
 	return s.takeRetry(r, result)
@@ -326,6 +327,19 @@
 	s.refuse(r, model.ReasonTimedOut, 0)
 }
 
+// onCallerLeft ends a request that still waits. A running attempt ends by
+// itself, or goes on where its work must not be cut.
+func (s *State) onCallerLeft(e event.CallerLeft) {
+	r, ok := s.requests[e.Request]
+	if !ok {
+		return
+	}
+	r.left = true
+	if r.stage < stageForward {
+		s.refuse(r, model.ReasonCallerLeft, 0)
+	}
+}
+
 func (s *State) onAnswerSent(e event.AnswerSent) {
 	r, ok := s.requests[e.Request]
 	if !ok {
--- a/decision/request_test.go
+++ b/decision/request_test.go
@@ -79,3 +79,23 @@
 	c.Fatalf("no %T among %v", *new(E), effects)
 	panic("unreachable")
 }
+
+// TestCallerLeft guards against work for a caller that is gone: a request that
+// waits for a server, and one whose first attempt failed.
+func TestCallerLeft(t *testing.T) {
+	c := qt.New(t)
+	s, forward := forwardedRequest(c)
+	now := s.now
+	reduce := func(body event.Body) []effect.Effect {
+		return Reduce(s, event.Event{At: now, Wall: 1, Body: body})
+	}
+	reduce(event.CallerLeft{Request: forward.Request})
+	broken := model.AttemptResult{Verdict: model.MayHaveRun, Reason: model.ReasonServerFailed}
+	effects := reduce(event.AttemptEnded{Request: forward.Request, Server: forward.Server, Result: broken})
+	c.Assert(find[effect.Refuse](c, effects).Verdict, qt.Equals, model.MayHaveRun)
+
+	s.requests[78] = &request{stage: stagePlace, route: &configuration.Route{}, verdict: model.NotRun}
+	effects = reduce(event.CallerLeft{Request: 78})
+	c.Assert(find[effect.Refuse](c, effects).Reason, qt.Equals, model.ReasonCallerLeft)
+	c.Assert(find[effect.Refuse](c, effects).Verdict, qt.Equals, model.NotRun)
+}
--- a/host/frontend/delivery_test.go
+++ b/host/frontend/delivery_test.go
@@ -121,6 +121,7 @@
 	<-asked
 	_ = conn.Close()
 	close(left)
+	c.Check(<-held, qt.FitsTypeOf, event.CallerLeft{})
 	result := (<-held).(event.AttemptEnded).Result
 	c.Check(result.Verdict, qt.Equals, model.Ran)
 	c.Check(string(result.Answer.Body), qt.Equals, "filed")
--- a/host/frontend/exchange.go
+++ b/host/frontend/exchange.go
@@ -24,6 +24,7 @@
 	verdict  model.Verdict     // of all attempts so far
 	answer   *backend.Answer   // of the last attempt, nil without
 	delivery delivery          // of the answer to the caller
+	watch    *watch            // of the caller; nil where it cannot be watched
 }
 
 // Apply implements control.Traffic. It hands the effect to the goroutine of
@@ -117,6 +118,7 @@
 		x.refuseStopping()
 		return
 	}
+	defer x.watchCaller()()
 	for {
 		e, ok := x.next()
 		if !ok {
@@ -168,7 +170,10 @@
 		ID:      x.name,
 		Request: x.forward,
 	}
-	result, answer := x.watched(a)
+	if x.watch != nil && e.Cancellable {
+		a.Cancellation = x.watch.cancellation()
+	}
+	result, answer := x.frontend.transport.Do(a)
 	x.answer = answer
 	if result.Verdict != model.NotRun {
 		x.verdict = result.Verdict
@@ -180,17 +185,14 @@
 	})
 }
 
-// watched makes an attempt that ends when the caller leaves, where that is
-// wanted.
-func (x *exchange) watched(a backend.Attempt) (model.AttemptResult, *backend.Answer) {
+// watchCaller watches the caller until the function that it returns is called.
+func (x *exchange) watchCaller() (stop func()) {
 	caller, ok := x.ctx.Conn().(*callerConn)
-	if !ok || !a.Forward.Cancellable {
-		return x.frontend.transport.Do(a)
+	if !ok {
+		return func() {}
 	}
-	w := startWatch(caller)
-	defer w.stop()
-	a.Cancellation = &w.Cancellation
-	return x.frontend.transport.Do(a)
+	x.watch = startWatch(caller, func() { x.frontend.loop.Post(event.CallerLeft{Request: x.id}) })
+	return x.watch.stop
 }
 
 func (x *exchange) releaseAnswer() {
--- a/host/frontend/refusal.go
+++ b/host/frontend/refusal.go
@@ -51,6 +51,7 @@
 	model.ReasonServerFailed:        {502, "the backend server failed"},
 	model.ReasonTimedOut:            {504, "the deadline passed"},
 	model.ReasonBadAnswer:           {502, "the backend server's answer was not valid"},
+	model.ReasonCallerLeft:          {503, "the caller has left"},
 	model.ReasonTooLarge:            {413, "the request is too large"},
 	model.ReasonMalformed:           {400, "the request is not valid"},
 	model.ReasonInternal:            {500, "internal error"},
--- a/host/frontend/watch.go
+++ b/host/frontend/watch.go
@@ -8,36 +8,49 @@
 	"pollensail.dev/host/socket"
 )
 
-// watchDelay is how long an attempt runs before its caller is watched. Most
-// attempts end earlier and are spared the goroutine.
+// watchDelay is how long a request waits before its caller is watched. Most
+// end earlier and are spared the goroutine.
 const watchDelay = 20 * time.Millisecond
 
 // longAgo is a deadline that ends reads at once.
 var longAgo = time.Unix(1, 0)
 
-// watch cancels an attempt when its caller leaves. A caller that sends its
-// next request early cannot be watched any further.
+// watch notices when a caller leaves while its request waits or runs. A caller
+// that sends its next request early cannot be watched any further.
 type watch struct {
-	backend.Cancellation
 	conn  *callerConn
+	left  func() // called once, when the caller has left
 	timer *time.Timer
 	done  chan struct{} // closed once run has ended
 
 	mu      sync.Mutex
 	stopped bool
+	hasLeft bool
+	attempt *backend.Cancellation // of the running attempt; nil: none to cancel
 }
 
 // startWatch watches the caller until stop.
-func startWatch(conn *callerConn) *watch {
-	w := &watch{conn: conn, done: make(chan struct{})}
+func startWatch(conn *callerConn, left func()) *watch {
+	w := &watch{conn: conn, left: left, done: make(chan struct{})}
 	w.timer = time.AfterFunc(watchDelay, w.run)
 	return w
 }
 
+// cancellation returns what ends an attempt when the caller leaves.
+func (w *watch) cancellation() *backend.Cancellation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempt = new(backend.Cancellation)
+	if w.hasLeft {
+		w.attempt.Cancel()
+	}
+	return w.attempt
+}
+
 func (w *watch) run() {
 	defer close(w.done)
-	if w.begin() && socket.Wait(w.conn.raw) == socket.Closed {
-		w.Cancel()
+	if w.begin() && socket.Wait(w.conn.raw) == socket.Closed && w.end() {
+		w.left()
 	}
 }
 
@@ -52,6 +65,21 @@
 	return w.conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// end cancels the attempt of a caller that has left. It reports false after
+// stop.
+func (w *watch) end() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return false
+	}
+	w.hasLeft = true
+	if w.attempt != nil {
+		w.attempt.Cancel()
+	}
+	return true
+}
+
 // stop ends the watch. fasthttp sets the connection's read deadline again
 // before it reads.
 func (w *watch) stop() {
