Serve at once after a takeover: links wake with their peer, accrued tokens are granted

Causes: a link whose peer was down paused for up to 2 s and dropped what was queued, also when the peer had connected to this host meanwhile; a new owner of a slot granted nothing for 2 s, because the grants that it assumes of the owner before took the whole room.

A peer that connects ends the pause. While old grants are assumed, a quarter of the burst may be outstanding of what accrues. The next owner assumes three quarters, so a second loss within the 2 s is covered.

--- a/decision/admission/bucket.go
+++ b/decision/admission/bucket.go
@@ -78,7 +78,7 @@
 // what is left, so that no host keeps tokens that others need now.
 func (b *bucket) grant(id uint64, by asker, needed, ahead int, expires model.Instant, limit Limit) int {
 	whole := int(b.level + roundingSlack)
-	room := maxOutstanding(limit.Burst) - b.outstanding
+	room := b.room(limit)
 	tokens := max(0, min(needed, whole, room))
 	tokens += max(0, min(ahead, (whole-tokens)/2, (room-tokens)/4))
 	if tokens == 0 {
@@ -90,6 +90,20 @@
 	return tokens
 }
 
+// assumedGrant is the id of the grant that stands for those of a lost owner. It
+// is the first to expire.
+const assumedGrant = 0
+
+// room returns how many tokens more may be outstanding. While grants of a lost
+// owner are assumed, what accrues can still be granted, within a smaller bound.
+func (b *bucket) room(limit Limit) int {
+	if len(b.grants) == 0 || b.grants[0].id != assumedGrant {
+		return maxOutstanding(limit.Burst) - b.outstanding
+	}
+	own := b.outstanding - int(b.grants[0].tokens)
+	return maxEarlyOutstanding(limit.Burst) - own
+}
+
 // granted returns the outstanding grant that answers an ask.
 func (b *bucket) granted(by asker) (grant, bool) {
 	i := slices.IndexFunc(b.grants, func(g grant) bool { return g.asker == by })
@@ -131,7 +145,7 @@
 
 // next returns when a token can be granted, as far as is known.
 func (b *bucket) next(limit Limit) time.Duration {
-	if b.outstanding >= maxOutstanding(limit.Burst) {
+	if b.room(limit) <= 0 {
 		return settleHint
 	}
 	if b.level >= 1 {
--- a/decision/admission/owner.go
+++ b/decision/admission/owner.go
@@ -153,10 +153,10 @@
 		b.level = float64(limit.Burst)
 		return b
 	}
-	if assumed := maxOutstanding(limit.Burst); assumed > 0 {
+	if assumed := assumedOutstanding(limit.Burst); assumed > 0 {
 		// Grants of the owner before may be in use until they expire.
 		b.outstanding = assumed
-		b.grants = []grant{{expires: s.zeroAt.Add(Validity), tokens: int32(assumed)}}
+		b.grants = []grant{{id: assumedGrant, expires: s.zeroAt.Add(Validity), tokens: int32(assumed)}}
 	}
 	return b
 }
--- a/decision/admission/share.go
+++ b/decision/admission/share.go
@@ -55,7 +55,7 @@
 }
 
 // maxOutstanding bounds the tokens of a share that are granted and not
-// settled. It is also what a new owner assumes to be outstanding.
+// settled.
 func maxOutstanding(burst int) int {
 	if burst <= 0 {
 		return 0
@@ -63,6 +63,21 @@
 	return max(1, burst/2)
 }
 
+// maxEarlyOutstanding is maxOutstanding for an owner that assumes grants of the
+// one before.
+func maxEarlyOutstanding(burst int) int {
+	if burst <= 0 {
+		return 0
+	}
+	return max(1, burst/4)
+}
+
+// assumedOutstanding is what a new owner assumes to be granted by the one
+// before, which may itself have followed a loss just before.
+func assumedOutstanding(burst int) int {
+	return min(burst, maxOutstanding(burst)+maxEarlyOutstanding(burst))
+}
+
 // accrued returns the tokens that a rate yields in a time.
 func accrued(rate float64, d time.Duration) float64 { return rate * d.Seconds() }
 
--- a/decision/slot/claim.go
+++ b/decision/slot/claim.go
@@ -203,7 +203,7 @@
 		s.swapForClaim(now, v, s.successorRecord(c.record))
 		return true
 	}
-	if now >= c.ownerAskedAt.Add(retryEvery) {
+	if now >= c.ownerAskedAt.Add(askEvery) {
 		s.askOwner(now, f, v)
 	}
 	return false
--- a/decision/slot/slot.go
+++ b/decision/slot/slot.go
@@ -21,6 +21,8 @@
 	renewEvery = 1300 * time.Millisecond
 	// retryEvery is the time between attempts at the store and at peers.
 	retryEvery = 500 * time.Millisecond
+	// askEvery is the time between questions to the host of a silent owner.
+	askEvery = 200 * time.Millisecond
 	// intentMemory is how long an intent is passed on: longer than any claim
 	// and any handover take.
 	intentMemory = 2 * time.Minute
--- a/host/peer/accept.go
+++ b/host/peer/accept.go
@@ -160,6 +160,7 @@
 	}
 	in.from = h.From
 	in.epochs[h.Epoch%2] = epoch{number: h.Epoch, since: time.Now()}
+	in.peers.heard(h.From.ID)
 	return nil
 }
 
--- a/host/peer/envelope_test.go
+++ b/host/peer/envelope_test.go
@@ -46,6 +46,7 @@
 	message.HandoverAck{},
 	message.HandoverCommit{Stored: true},
 	message.HandoverCommitAck{},
+	message.Sign{Service: "lookup", Server: "127.0.0.1:1", Sign: model.SignBroken},
 }
 
 // put writes a message as a session does.
--- a/host/peer/link.go
+++ b/host/peer/link.go
@@ -27,6 +27,7 @@
 	to      model.HostID
 	address string
 	queue   chan *queued
+	alive   chan struct{} // gets a value when the peer gave a sign of life
 	ctx     context.Context
 	close   context.CancelFunc
 	down    bool // the last use failed; for the goroutine of run
@@ -41,6 +42,7 @@
 
 func newLink(p *Peers, to model.HostID, address string) *link {
 	l := &link{peers: p, to: to, address: address, queue: make(chan *queued, queueLength)}
+	l.alive = make(chan struct{}, 1)
 	l.ctx, l.close = context.WithCancel(p.ctx)
 	return l
 }
@@ -111,8 +113,17 @@
 	}
 }
 
+// hearAlive ends a pause of the link.
+func (l *link) hearAlive() {
+	select {
+	case l.alive <- struct{}{}:
+	default:
+	}
+}
+
 // pause waits for d and a random part of it, so that hosts do not reconnect at
-// the same moment. It drops what is queued meanwhile.
+// the same moment. It drops what is queued meanwhile. A peer that connects to
+// this host has started again, so that the wait is over.
 func (l *link) pause(d time.Duration) bool {
 	timer := time.NewTimer(d/2 + rand.N(d))
 	defer timer.Stop()
@@ -122,6 +133,8 @@
 			l.peers.counters.dropped.Add(1)
 		case <-timer.C:
 			return true
+		case <-l.alive:
+			return true
 		case <-l.ctx.Done():
 			return false
 		}
--- a/host/peer/peers.go
+++ b/host/peer/peers.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// heard ends the pause of the link to a host that has connected to this one.
+func (p *Peers) heard(from model.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.links[from]; ok {
+		l.hearAlive()
+	}
+}
+
 // link returns the link to a host, nil when its address is unknown.
 func (p *Peers) link(to model.HostID) *link {
 	p.mu.Lock()
