--- a/decision/config.go
+++ b/decision/config.go
@@ -63,6 +63,7 @@
 
 	storeVersion uint64        // of the last root that the store answered
 	nextRead     model.Instant // when to read while no owner is known
+	isStoreEmpty bool          // the store answered that it has no root
 	isReading    bool          // a read of the root waits for its answer
 	isWatching   bool          // a watch of the root waits for its answer
 	storeDown    bool          // the last call for the root failed
@@ -116,6 +117,7 @@
 	}
 	s.limits.members.StoreReached(e.SentAt)
 	c.storeVersion = max(c.storeVersion, e.StoreVersion)
+	c.isStoreEmpty = e.Root.Version == 0
 	if e.Root.Version > 0 {
 		s.considerRoot(e.Root, "")
 		s.confirmVersion(e.Root.Version, e.SentAt)
@@ -147,6 +149,8 @@
 	switch {
 	case s.ownsSlot0():
 		s.watchRoot()
+	case c.newest() == 0 && c.isStoreEmpty:
+		s.watchRoot()
 	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead(), s.isConfirmationDue():
 		s.readRoot()
 	}
--- a/decision/confirmation.go
+++ b/decision/confirmation.go
@@ -19,11 +19,10 @@
 	// the decision to the server.
 	withdrawalGuard = 10
 	// readSomeAfter and readAfter are the parts of the bound, in tenths, after
-	// which one host in readOneOf and each host reads the root itself. In
+	// which one host of the fleet and each host reads the root itself. In
 	// between, one host's proof reaches the others by heartbeats.
 	readSomeAfter = 3
 	readAfter     = 5
-	readOneOf     = 12
 )
 
 // confirmVersion takes a proof that no version newer than the given one existed
@@ -86,7 +85,7 @@
 	case age < 0 || age > bound*readAfter/10:
 		return true
 	case age > bound*readSomeAfter/10:
-		return s.rand.IntN(readOneOf) == 0
+		return s.rand.IntN(len(s.config.peers)+1) == 0
 	default:
 		return false
 	}
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -96,7 +96,7 @@
 		after = ownStoreReadAfter
 	}
 	isFresh := stamp.Known && s.now < stamp.At.Add(after)
-	if s.snapshot == nil || isFresh || s.now < s.limits.storeReadAt.Add(ownStoreReadAfter) {
+	if s.snapshot == nil || s.snapshot.Withdrawal > 0 || isFresh || s.now < s.limits.storeReadAt.Add(ownStoreReadAfter) {
 		return
 	}
 	s.limits.storeReadAt = s.now
--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -15,6 +15,8 @@
 	// IsRepeatable says that the request may be sent to another server if this
 	// one fails.
 	IsRepeatable bool
+	// IsLarge says that the answer is costly to carry between failure domains.
+	IsLarge bool
 }
 
 func (d Demand) caution() float64 {
@@ -39,7 +41,7 @@
 	if len(p.eligible) == 0 {
 		p.collect(func(*server) bool { return true })
 	}
-	return p.lessLoaded(now, rnd, d.caution())
+	return p.lessLoaded(now, rnd, d)
 }
 
 // collect gathers the servers of the subset that are not full and match.
@@ -52,11 +54,11 @@
 	}
 }
 
-func (p *Pool) lessLoaded(now model.Instant, rnd *rand.Rand, caution float64) *server {
+func (p *Pool) lessLoaded(now model.Instant, rnd *rand.Rand, d Demand) *server {
 	if len(p.eligible) == 0 {
 		return nil
 	}
-	p.weigh(now, caution)
+	p.weigh(now, d)
 	i := p.draw(rnd)
 	first := p.eligible[i]
 	p.shares[i] = 0
@@ -70,12 +72,21 @@
 	return first
 }
 
+// farShare is the share of the draws that a server in another failure domain
+// gets for a large answer, in relation to one that is near. It is small enough
+// that a near server is chosen unless it is suspected or busy.
+const farShare = 1.0 / 32
+
 // weigh sets the share of the draws that each eligible server gets: less for a
-// cold one and for one that is suspected.
-func (p *Pool) weigh(now model.Instant, caution float64) {
+// cold one, for one that is suspected and, for a large answer, for one that is
+// far.
+func (p *Pool) weigh(now model.Instant, d Demand) {
 	p.shares = p.shares[:0]
 	for _, s := range p.eligible {
-		share := s.share(now, p.limits.ColdRamp) * math.Pow(s.suspicion.trust(now), caution)
+		share := s.share(now, p.limits.ColdRamp) * math.Pow(s.suspicion.trust(now), d.caution())
+		if d.IsLarge && !s.IsNear {
+			share *= farShare
+		}
 		p.shares = append(p.shares, max(share, minShare))
 	}
 }
--- a/decision/placement/server.go
+++ b/decision/placement/server.go
@@ -15,6 +15,8 @@
 	ID model.ServerID
 	// ColdSince is when a new server appeared; model.Never for a warm one.
 	ColdSince model.Instant
+	// IsNear is true in the host's own failure domain.
+	IsNear bool
 	// Trial limits the server to one request of this host at a time.
 	Trial bool
 }
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -24,6 +24,8 @@
 	list []model.HostEntry
 	// listed are the servers that the host list adds to services.
 	listed map[model.ServiceID][]model.ServerID
+	// domains are the failure domains of the listed servers.
+	domains map[model.ServerID]model.DomainID
 	// members are all servers of each service, leaving ones included, in this
 	// host's rendezvous order.
 	members map[model.ServiceID][]model.ServerID
@@ -61,6 +63,7 @@
 		quiet:        make(map[model.SlotID]model.Instant),
 		pools:        make(map[model.ServiceID]*placement.Pool),
 		listed:       make(map[model.ServiceID][]model.ServerID),
+		domains:      make(map[model.ServerID]model.DomainID),
 		members:      make(map[model.ServiceID][]model.ServerID),
 		serving:      make(map[model.ServiceID]bool),
 		monitors:     make(map[model.ServiceID]*health.Monitor),
@@ -102,12 +105,15 @@
 	}
 	s.servers.list = slices.Clone(entries)
 	clear(s.servers.listed)
+	clear(s.servers.domains)
 	s.servers.peers = s.servers.peers[:0]
 	s.servers.users = 0
 	for _, e := range entries {
 		switch e.Role {
 		case model.RoleBackend:
-			s.servers.listed[e.Service] = append(s.servers.listed[e.Service], model.ServerID(e.ID))
+			id := model.ServerID(e.ID)
+			s.servers.listed[e.Service] = append(s.servers.listed[e.Service], id)
+			s.servers.domains[id] = e.Domain
 		case model.RoleEntry:
 			s.listEntryHost(e)
 		}
@@ -232,6 +238,7 @@
 			ID:        id,
 			ColdSince: s.servers.roster.ColdSince(id),
 			Trial:     slices.Contains(out.trial, id),
+			IsNear:    s.servers.domains[id] == s.domain,
 		})
 	}
 	return usable
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -51,6 +51,7 @@
 func (s *State) demand(r *request) placement.Demand {
 	return placement.Demand{
 		Tried:        r.tried,
+		IsLarge:      r.route.Class == model.Batch,
 		IsRepeatable: r.route.Idempotent && r.attempts-r.unsent+1 < r.mostAttempts(),
 	}
 }
