Let retries accrue with time within the fleet's bound

Of its part of the fleet's number a host now saves 60 % and accrues 35 % in a window. Where its part is below one retry it stakes what it has. Ruled out by the test of all hosts together: a stake that is kept when it loses (3 hosts sent 1,419 of 3,570 again).

--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -139,7 +139,8 @@
 	RetryShare float64
 	// RetryExtra is how many requests more all hosts together may send again in
 	// any window; 0: each host has a few of its own.
-	RetryExtra int
+	RetryExtra  int
+	RetryWindow time.Duration
 	// ColdRamp is how long a new server's share grows to its full size.
 	ColdRamp time.Duration
 }
--- a/decision/placement/budget.go
+++ b/decision/placement/budget.go
@@ -21,14 +21,19 @@
 type RetryLimits struct {
 	// Share is the part of requests that may be sent a second time.
 	Share float64
-	// IsBounded says that all hosts together may repeat Share of the requests
-	// and Saved times the number of hosts in any window. Without it retries
-	// also accrue with time.
-	IsBounded bool
-	// Saved is what a host may save up.
-	Saved float64
+	// Extra is how many more the host may send again in any Window, its part of
+	// what the fleet may. 0: a few, which accrue with time.
+	Extra  float64
+	Window time.Duration
 }
 
+// Of Extra, savedShare may be saved up and refillShare accrues in a Window, so
+// that both together stay below it, also where the host starts again.
+const (
+	savedShare  = 0.6
+	refillShare = 0.35
+)
+
 // budget limits retries to a share of the requests, so that retries cannot
 // multiply the load of a pool that fails as a whole.
 type budget struct {
@@ -39,17 +44,18 @@
 
 // configure sets the limits. A bounded budget starts empty, because an earlier
 // process of this host may have used up what it had saved.
-func (b *budget) configure(limits RetryLimits) {
-	if limits.IsBounded && !b.limits.IsBounded {
+func (b *budget) configure(now model.Instant, limits RetryLimits) {
+	if limits.Extra > 0 && b.limits.Extra <= 0 {
 		b.tokens = 0
+		b.at = now
 	}
 	b.limits = limits
 	b.tokens = min(b.tokens, b.most())
 }
 
 func (b *budget) most() float64 {
-	if b.limits.IsBounded {
-		return b.limits.Saved
+	if b.limits.Extra > 0 {
+		return savedShare * b.limits.Extra
 	}
 	return maxRetries
 }
@@ -57,35 +63,33 @@
 // request counts a first attempt.
 func (b *budget) request() { b.tokens = min(b.tokens+b.limits.Share, b.most()) }
 
-// take takes one retry if there is one.
+// take takes one retry if there is one. In a large fleet a host cannot save a
+// whole one; it stakes the part that it has and wins a retry with the chance of
+// that part, so that all hosts together use what they have and no more.
 func (b *budget) take(now model.Instant, rnd *rand.Rand) bool {
 	b.refill(now)
-	if b.limits.IsBounded && b.tokens < 1 {
-		return b.takePart(rnd)
-	}
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-// takePart takes a retry with the chance of the part that is there. In a large
-// fleet a host cannot save a whole one, and by chance all hosts together still
-// use what they have.
-func (b *budget) takePart(rnd *rand.Rand) bool {
-	if b.most() >= 1 || rnd.Float64() >= b.tokens {
+	switch {
+	case b.tokens >= 1:
+		b.tokens--
+		return true
+	case b.most() >= 1:
 		return false
 	}
+	part := b.tokens
 	b.tokens = 0
-	return true
+	return rnd.Float64() < part
 }
 
 func (b *budget) refill(now model.Instant) {
-	accrued := float64(now.Sub(b.at)) / float64(retryRefill)
+	age := now.Sub(b.at)
 	b.at = now
-	if b.tokens < minRetries && !b.limits.IsBounded {
-		b.tokens = min(b.tokens+accrued, minRetries)
+	if b.limits.Extra > 0 {
+		accrued := refillShare * b.limits.Extra * age.Seconds() / b.limits.Window.Seconds()
+		b.tokens = min(b.tokens+accrued, b.most())
+		return
+	}
+	if b.tokens < minRetries {
+		b.tokens = min(b.tokens+age.Seconds()/retryRefill.Seconds(), minRetries)
 	}
 }
 
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -27,7 +27,7 @@
 		members[i] = Member{ID: id, ColdSince: model.Never}
 	}
 	p := NewPool()
-	p.Configure(limits, members)
+	p.Configure(0, limits, members)
 	return p
 }
 
@@ -210,7 +210,7 @@
 		}
 		members[0].ColdSince = 0
 		p := NewPool()
-		p.Configure(Limits{Slots: 6, ColdRamp: 10 * time.Second}, members)
+		p.Configure(0, Limits{Slots: 6, ColdRamp: 10 * time.Second}, members)
 		rnd := rand.New(rand.NewPCG(7, 7))
 		now := model.Instant(0).Add(time.Duration(percent) * 100 * time.Millisecond)
 		hits := 0
@@ -251,7 +251,7 @@
 		}, nil, ids},
 		{"one in trial at a time", func(p *Pool) {
 			trial := Member{ID: ids[0], ColdSince: model.Never, Trial: true}
-			p.Configure(Limits{Slots: 6}, []Member{trial, {ID: ids[1], ColdSince: model.Never}})
+			p.Configure(0, Limits{Slots: 6}, []Member{trial, {ID: ids[1], ColdSince: model.Never}})
 			p.byID[ids[0]].inFlight = 1
 		}, nil, ids[1:2]},
 	}
@@ -277,7 +277,7 @@
 func TestRetryBudget(t *testing.T) {
 	c := qt.New(t)
 	b := budget{tokens: minRetries}
-	b.configure(RetryLimits{Share: 0.1})
+	b.configure(0, RetryLimits{Share: 0.1})
 	taken := 0
 	for range 1000 {
 		b.request()
@@ -306,15 +306,16 @@
 		budgets := make([]budget, hosts)
 		var requests, retries [seconds]int
 		for second := range seconds {
+			now := model.Instant(second) * model.Instant(time.Second)
 			for i := range budgets {
 				if second%40 == 0 && (second == 0 || i < hosts/2) {
 					budgets[i] = budget{tokens: minRetries}
-					budgets[i].configure(RetryLimits{Share: share, IsBounded: true, Saved: extra / float64(hosts)})
+					budgets[i].configure(now, RetryLimits{Share: share, Extra: extra / float64(hosts), Window: window * time.Second})
 				}
 				for range rnd.IntN(1 + 2*i*1000/hosts/hosts) {
 					budgets[i].request()
 					requests[second]++
-					if budgets[i].take(model.Instant(second)*model.Instant(time.Second), rnd) {
+					if budgets[i].take(now, rnd) {
 						retries[second]++
 					}
 				}
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -53,9 +53,9 @@
 
 // Configure sets the limits and the subset. Servers that left the subset keep
 // their work in flight and get no more.
-func (p *Pool) Configure(limits Limits, subset []Member) {
+func (p *Pool) Configure(now model.Instant, limits Limits, subset []Member) {
 	p.limits = limits
-	p.budget.configure(limits.Retries)
+	p.budget.configure(now, limits.Retries)
 	for _, s := range p.byID {
 		s.inSubset = false
 	}
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -203,19 +203,19 @@
 		Queue:       service.Queue,
 		ColdRamp:    service.ColdRamp,
 		Retries: placement.RetryLimits{
-			Share:     service.RetryShare,
-			IsBounded: service.RetryExtra > 0,
-			Saved:     float64(service.RetryExtra) / float64(hosts),
+			Share:  service.RetryShare,
+			Extra:  float64(service.RetryExtra) / float64(hosts),
+			Window: service.RetryWindow,
 		},
 	}
-	pool.Configure(limits, usable[:size])
+	pool.Configure(s.now, limits, usable[:size])
 	s.serveQueue(service.ID)
 }
 
 // closePool ends the use of a service that the configuration no longer has.
 func (s *State) closePool(id model.ServiceID) {
 	pool := s.servers.pools[id]
-	pool.Configure(placement.Limits{}, nil)
+	pool.Configure(s.now, placement.Limits{}, nil)
 	s.serveQueue(id)
 	delete(s.servers.members, id)
 	delete(s.servers.inForce, id)
