--- a/decision/model/answer.go
+++ b/decision/model/answer.go
@@ -31,6 +31,9 @@
 	Reason   Reason // empty when an answer arrived whole
 	Shed     bool   // the server refused the request unrun
 	Draining bool   // the server said that it is leaving
+	// IsOther says that another server than the expected one has the address.
+	// The request was not run.
+	IsOther bool
 	// InFlight and Slots are the load that the server reported; Slots is 0
 	// when it reported none.
 	InFlight int
--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -83,7 +83,7 @@
 func (p *Pool) weigh(now model.Instant, d Demand) {
 	p.shares = p.shares[:0]
 	for _, s := range p.eligible {
-		share := s.share(now, p.limits.ColdRamp) * math.Pow(s.suspicion.trust(now), d.caution())
+		share := s.share(now, p.limits.ColdRamp) * math.Pow(s.trust(now), d.caution())
 		if d.IsLarge && !s.IsNear {
 			share *= farShare
 		}
--- a/decision/placement/server.go
+++ b/decision/placement/server.go
@@ -29,7 +29,8 @@
 	slots      int // that the server reported; 0: the service's
 	reportedAt model.Instant
 	avoidUntil model.Instant
-	suspicion  suspicion
+	suspicion  suspicion // of the server
+	path       suspicion // of this host's path to it
 	inSubset   bool
 }
 
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -22,14 +22,25 @@
 	suspicionTime = 8 * time.Second
 )
 
-// weights are what the signs add.
-var weights = [...]float64{
-	model.SignGood:        -1.5,
-	model.SignError:       2.5,
-	model.SignBroken:      5,
-	model.SignSilent:      4,
-	model.SignUnreachable: 5,
-}
+// serverWeights are what the signs add to the belief about the server, and
+// pathWeights what those of this host add to the belief about its own path to
+// the server: other hosts may reach a server that this one does not.
+var (
+	serverWeights = [...]float64{
+		model.SignGood:        -1.5,
+		model.SignError:       2.5,
+		model.SignBroken:      5,
+		model.SignSilent:      2,
+		model.SignUnreachable: 0,
+	}
+	pathWeights = [...]float64{
+		model.SignGood:        -3,
+		model.SignError:       -3,
+		model.SignBroken:      1,
+		model.SignSilent:      3,
+		model.SignUnreachable: 6,
+	}
+)
 
 // suspicion is the belief about one server. The zero value is the usual one at
 // the start of the process.
@@ -46,18 +57,27 @@
 	return usualOdds + s.above*math.Exp(-age.Seconds()/suspicionTime.Seconds())
 }
 
-// add takes a sign.
-func (s *suspicion) add(now model.Instant, sign model.Sign) {
-	odds := s.odds(now) + weights[sign]
+// add adds the weight of a sign.
+func (s *suspicion) add(now model.Instant, weight float64) {
+	odds := s.odds(now) + weight
 	s.above = min(max(odds, leastOdds), mostOdds) - usualOdds
 	s.at = now
 }
 
-// trust returns the chance that the server is good.
+// trust returns the chance that what is believed about is good.
 func (s *suspicion) trust(now model.Instant) float64 {
 	return 1 / (1 + math.Exp(s.odds(now)))
 }
 
+// trust returns the chance that a request to the server succeeds.
+func (s *server) trust(now model.Instant) float64 {
+	trust := s.suspicion.trust(now)
+	if s.path.above != 0 {
+		trust *= s.path.trust(now)
+	}
+	return trust
+}
+
 const (
 	// repeatableCaution and onceCaution are the powers of trust by which servers
 	// are chosen. A request that may be sent again finds out whether a suspected
@@ -68,23 +88,39 @@
 	doubtful = 0.9
 )
 
-// Observe takes the sign of an attempt at a server, of this host or of another.
-// It reports whether other hosts should know.
+// Observe takes the sign of an attempt of this host at a server. It reports
+// whether other hosts should know.
 func (p *Pool) Observe(now model.Instant, id model.ServerID, sign model.Sign) bool {
 	s, ok := p.byID[id]
 	if !ok || sign == model.SignNone {
 		return false
 	}
 	wasDoubtful := s.suspicion.trust(now) < doubtful
-	s.suspicion.add(now, sign)
+	s.suspicion.add(now, serverWeights[sign])
+	s.path.add(now, pathWeights[sign])
 	return sign.IsShared() && (sign != model.SignGood || wasDoubtful)
 }
 
-// Trust returns the chance that a server is good, 1 for an unknown one.
-func (p *Pool) Trust(now model.Instant, id model.ServerID) float64 {
-	s, ok := p.byID[id]
-	if !ok {
-		return 1
+// Hear takes the sign of an attempt of another host at a server.
+func (p *Pool) Hear(now model.Instant, id model.ServerID, sign model.Sign) {
+	if s, ok := p.byID[id]; ok && sign.IsShared() {
+		s.suspicion.add(now, serverWeights[sign])
+	}
+}
+
+const (
+	// silentFactor is how many times the usual length of an attempt passes
+	// before one without an answer counts as silent.
+	silentFactor = 3
+	// minSilent keeps short pauses from counting where attempts are short.
+	minSilent = 300 * time.Millisecond
+)
+
+// SilentAfter returns how long an attempt may go on before it says something
+// about its server; 0 while too little is known.
+func (p *Pool) SilentAfter() time.Duration {
+	if p.held.Value() == 0 {
+		return 0
 	}
-	return s.suspicion.trust(now)
+	return max(silentFactor*p.held.Value(), minSilent)
 }
--- a/decision/request.go
+++ b/decision/request.go
@@ -193,6 +193,7 @@
 	}
 	r.attempts++
 	s.spendToken(r)
+	s.watchSilence(r)
 	s.emit(effect.Forward{
 		Request:      r.Request,
 		Server:       r.server,
@@ -242,6 +243,7 @@
 		s.deliver(r, e.Result)
 	case s.mayRetry(r, e.Result):
 		r.stage = stagePlace
+		s.timers.Set(timerKey{timerRequest, uint64(r.Request)}, r.deadline)
 		s.advance(r)
 	case isAnswer:
 		s.deliver(r, e.Result)
@@ -318,13 +320,16 @@
 }
 
 // onRequestDeadline ends a request that still waits. A running attempt ends by
-// itself at the same deadline.
+// itself at the same deadline; its timer says that the server is silent.
 func (s *State) onRequestDeadline(id model.RequestID) {
 	r, ok := s.requests[id]
-	if !ok || r.stage >= stageForward {
-		return
+	switch {
+	case !ok || r.stage > stageForward:
+	case r.stage == stageForward:
+		s.onSilence(r)
+	default:
+		s.refuse(r, model.ReasonTimedOut, 0)
 	}
-	s.refuse(r, model.ReasonTimedOut, 0)
 }
 
 // onCallerLeft ends a request that still waits. A running attempt ends by
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -23,7 +23,7 @@
 // unless the answer still streams.
 func (s *State) observe(r *request, result model.AttemptResult) {
 	s.takeLoad(r, result)
-	if result.Draining {
+	if result.Draining || result.IsOther {
 		s.serverDrains(r.server)
 	}
 	if result.Streaming {
--- a/decision/servers_suspicion.go
+++ b/decision/servers_suspicion.go
@@ -13,7 +13,11 @@
 // takeSign takes what an attempt says about its server and tells other hosts,
 // because a host alone sees a server too rarely.
 func (s *State) takeSign(r *request, pool *placement.Pool, result model.AttemptResult) {
-	sign := signOf(result)
+	s.noteSign(r, pool, signOf(result))
+}
+
+// noteSign takes a sign of the server of a request's attempt.
+func (s *State) noteSign(r *request, pool *placement.Pool, sign model.Sign) {
 	if !pool.Observe(s.now, r.server, sign) {
 		return
 	}
@@ -50,7 +54,27 @@
 
 // onSign takes what another host saw of a server.
 func (s *State) onSign(m message.Sign) {
-	if pool := s.pool(m.Service); pool != nil && m.Sign.IsShared() {
-		pool.Observe(s.now, m.Server, m.Sign)
+	if pool := s.pool(m.Service); pool != nil {
+		pool.Hear(s.now, m.Server, m.Sign)
+	}
+}
+
+// watchSilence makes an attempt without an answer count against its server long
+// before its deadline.
+func (s *State) watchSilence(r *request) {
+	pool := s.pool(r.service)
+	if pool == nil || !s.snapshot.Services[r.service].SharedDetection {
+		return
+	}
+	if after := pool.SilentAfter(); after > 0 {
+		s.timers.Set(timerKey{timerRequest, uint64(r.Request)}, s.now.Add(after))
+	}
+}
+
+// onSilence takes the sign of an attempt that still has no answer.
+func (s *State) onSilence(r *request) {
+	pool := s.pool(r.service)
+	if pool != nil && s.snapshot.Services[r.service].SharedDetection {
+		s.noteSign(r, pool, model.SignSilent)
 	}
 }
--- a/host/backend/result.go
+++ b/host/backend/result.go
@@ -27,6 +27,7 @@
 	if e.isShed(header) {
 		result.Verdict = model.NotRun
 		result.Shed = true
+		result.IsOther = e.dialect().IsOther(header)
 		result.Streaming = false
 		answer.Release()
 		return result, nil
--- a/host/wire/dialect.go
+++ b/host/wire/dialect.go
@@ -33,6 +33,9 @@
 	ParseLoad func(string) (ServerLoad, error)
 	// IsNotRun reports whether a server says that it did not run the request.
 	IsNotRun func(*fasthttp.ResponseHeader) bool
+	// IsOther reports whether another server than the expected one answered,
+	// without running the request.
+	IsOther func(*fasthttp.ResponseHeader) bool
 	// IsDoubtful reports whether an answer that does not say so would be
 	// understood by callers as if the request had not run.
 	IsDoubtful func(*fasthttp.ResponseHeader) bool
@@ -59,6 +62,7 @@
 		Load:          Load,
 		ParseLoad:     ParseLoad,
 		IsNotRun:      isOwnShed,
+		IsOther:       func(*fasthttp.ResponseHeader) bool { return false },
 		IsDoubtful:    func(*fasthttp.ResponseHeader) bool { return false },
 		IsDraining:    isOwnDraining,
 		IsOwn:         IsOwn,
