Keep servers for two seconds after an outage of the list; use the list's cold time and slots

Entries that lapse while the store is away come back within about 2 s of its return. Until then a server that was in use stays in use, unless it said that it leaves; after that a missing one is gone. Cold time and slots come from the list where it tells them, and a new life under the same address is cold.

--- a/decision/placement/roster.go
+++ b/decision/placement/roster.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,6 +30,8 @@
 // presence is one server's stay.
 type presence struct {
 	coldSince model.Instant  // model.Never: warm
+	coldFor   time.Duration  // what the list said of the time from coldSince; 0: nothing
+	slots     int            // from the host list; 0: unknown
 	since     model.WallTime // from the host list; 0: unknown
 	isListed  bool
 	isMember  bool // named by the configuration
@@ -80,9 +83,13 @@
 	id := model.ServerID(e.ID)
 	p := r.appear(now, id, !r.listed)
 	p.isListed = true
-	isNewLife := p.leaving && !e.Leaving && p.since != 0 && e.Since > p.since
+	p.slots = e.Slots
+	isNewLife := !e.Leaving && p.since != 0 && e.Since > p.since
 	if isNewLife {
-		*p = presence{coldSince: now, isListed: true, isMember: p.isMember, forgetAt: model.Never}
+		*p = presence{coldSince: now, isListed: true, isMember: p.isMember, slots: e.Slots, forgetAt: model.Never}
+	}
+	if e.ColdFor > 0 && p.coldFor == 0 {
+		p.coldSince, p.coldFor = now, e.ColdFor
 	}
 	if e.Since != 0 {
 		p.since = e.Since
@@ -194,10 +201,31 @@
 	return p.coldSince
 }
 
-// IsCold reports whether the server appeared less than ramp ago.
+// IsCold reports whether the server appeared less than ramp ago, or less than
+// the host list said that it is slow for.
 func (r *Roster) IsCold(now model.Instant, id model.ServerID, ramp time.Duration) bool {
 	since := r.ColdSince(id)
-	return since != model.Never && now < since.Add(ramp)
+	return since != model.Never && now < since.Add(cmp.Or(r.ColdFor(id), ramp))
+}
+
+// ColdFor returns how long the host list said that the server is slow; 0 where
+// it said nothing.
+func (r *Roster) ColdFor(id model.ServerID) time.Duration {
+	p, ok := r.seen[id]
+	if !ok {
+		return 0
+	}
+	return p.coldFor
+}
+
+// Slots returns how many requests the server works on at once by the host list;
+// 0 where it said nothing.
+func (r *Roster) Slots(id model.ServerID) int {
+	p, ok := r.seen[id]
+	if !ok {
+		return 0
+	}
+	return p.slots
 }
 
 // Leaving returns all leaving servers, in order.
--- a/decision/placement/server.go
+++ b/decision/placement/server.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"pollensail.dev/decision/model"
@@ -15,6 +16,10 @@
 	ID model.ServerID
 	// ColdSince is when a new server appeared; model.Never for a warm one.
 	ColdSince model.Instant
+	// ColdFor is how long the server is cold; 0: the service's ramp.
+	ColdFor time.Duration
+	// Slots is how many requests the server works on at once; 0: the service's.
+	Slots int
 	// IsNear is true in the host's own failure domain.
 	IsNear bool
 	// Trial limits the server to one request of this host at a time.
@@ -36,9 +41,7 @@
 
 // load returns (own in flight + reported load) / slots.
 func (s *server) load(now model.Instant, slots int) float64 {
-	if s.slots > 0 {
-		slots = s.slots
-	}
+	slots = cmp.Or(s.slots, s.Slots, slots)
 	return (float64(s.inFlight) + s.reportedLoad(now)) / float64(max(slots, 1))
 }
 
@@ -53,6 +56,7 @@
 // share returns the part of its full share that a server gets, from 0 for one
 // that has just appeared to 1.
 func (s *server) share(now model.Instant, ramp time.Duration) float64 {
+	ramp = cmp.Or(s.ColdFor, ramp)
 	if s.ColdSince == model.Never || ramp <= 0 {
 		return 1
 	}
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -105,7 +105,7 @@
 func (s *State) onHostsListed(e event.HostsListed) {
 	s.configHostsListed(e.Entries)
 	s.limitsHostsListed(e.Entries)
-	s.serversHostsListed(e.Entries)
+	s.serversHostsListed(e)
 }
 
 // fireDue runs every deadline that has passed.
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"pollensail.dev/decision/configuration"
+	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/health"
 	"pollensail.dev/decision/model"
 	"pollensail.dev/decision/placement"
@@ -22,6 +23,9 @@
 	// list is the newest host list. An equal one is not taken again, because
 	// computing all subsets takes milliseconds in a large fleet.
 	list []model.HostEntry
+	// told is the list as the platform told it last, without absent servers.
+	told   []model.HostEntry
+	absent absence
 	// listed are the servers that the host list adds to services.
 	listed map[model.ServiceID][]model.ServerID
 	// domains are the failure domains of the listed servers.
@@ -80,6 +84,7 @@
 	serversTimerEvidence                  // reports to coordinators are due
 	serversTimerCoordinator               // a coordinator has something to do
 	serversTimerSets                      // an ejection set expires
+	serversTimerAbsent                    // servers that did not come back are gone
 )
 
 func (s *State) onServersTimer(id uint64) {
@@ -90,6 +95,8 @@
 		s.sendEvidence()
 	case serversTimerCoordinator:
 		s.runCoordinators()
+	case serversTimerAbsent:
+		s.endAbsence()
 	case serversTimerSets:
 		s.rebuildPools()
 	}
@@ -99,7 +106,13 @@
 
 // serversHostsListed takes the members that the host list adds, the servers
 // that it says are leaving, and the number of hosts that share the servers.
-func (s *State) serversHostsListed(entries []model.HostEntry) {
+func (s *State) serversHostsListed(e event.HostsListed) {
+	s.servers.told = e.Entries
+	s.takeList(s.withAbsent(e.Entries, e.Resumed))
+}
+
+// takeList puts a list into force, unless an equal one is.
+func (s *State) takeList(entries []model.HostEntry) {
 	if s.servers.list != nil && slices.Equal(entries, s.servers.list) {
 		return
 	}
@@ -237,6 +250,8 @@
 		usable = append(usable, placement.Member{
 			ID:        id,
 			ColdSince: s.servers.roster.ColdSince(id),
+			ColdFor:   s.servers.roster.ColdFor(id),
+			Slots:     s.servers.roster.Slots(id),
 			Trial:     slices.Contains(out.trial, id),
 			IsNear:    s.servers.domains[id] == s.domain,
 		})
--- /dev/null
+++ b/decision/servers_absent_test.go
@@ -0,0 +1,45 @@
+package decision
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/model"
+)
+
+// TestServersAbsentAfterOutage guards against a service without servers just
+// after the store is back, because their entries lapsed meanwhile, and against
+// work for a server that does not come back, or that had said that it leaves.
+func TestServersAbsentAfterOutage(t *testing.T) {
+	entry := func(id string, leaving bool) model.HostEntry {
+		return model.HostEntry{ID: id, Role: model.RoleBackend, Service: simService, Leaving: leaving}
+	}
+	for _, tc := range []struct {
+		name    string
+		resumed bool
+		after   time.Duration
+		want    []model.ServerID
+	}{
+		{"just after the outage", true, time.Second, []model.ServerID{"b:1", "c:1"}},
+		{"two seconds later", true, returnWithin + time.Millisecond, []model.ServerID{"c:1"}},
+		{"without an outage", false, time.Second, []model.ServerID{"c:1"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newSim(t, simOptions{hosts: 1, servers: 0, rate: 1, floor: 0.5})
+			h := m.hosts[0]
+			hosts := m.list
+			h.reduce(event.HostsListed{Entries: append(hosts, entry("a:1", true), entry("b:1", false))})
+			h.reduce(event.HostsListed{Entries: append(hosts, entry("c:1", false)), Resumed: tc.resumed})
+			Reduce(h.state, event.Event{At: h.state.now.Add(tc.after), Wall: 1, Body: event.TimerFired{}})
+			var got []model.ServerID
+			for _, s := range h.state.usable(h.state.snapshot.Services[simService]) {
+				got = append(got, s.ID)
+			}
+			c.Assert(got, qt.ContentEquals, tc.want)
+		})
+	}
+}
