Test the adapter against a small store; keep the stand-in caller from hidden resends

The module platform is part of make lint, test and race.

The stand-in caller: net/http sent a GET, or a POST with an empty body or an Idempotency-Key, again by itself when a kept connection broke; the second dial was refused and the caller told "not run" though the first send ran. TestNoHiddenRetry shows both. A body that cannot be rewound keeps the library from it.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Modules of the workspace that hold code of the project.
-MODULES := decision host standin
+MODULES := decision host platform standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 ALL = $(shell go list $(PACKAGES))
 # Packages with property tests. They run with a fixed seed, so that every run
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -1,7 +1,10 @@
 package caller
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -82,6 +85,51 @@
 	c.Assert(calls[0].Tries, qt.Equals, 1)
 }
 
+// TestNoHiddenRetry guards against a library that sends a request again by
+// itself: a host that is killed aborts the second request on a kept connection,
+// the repetition finds no listener, and the caller would take the first send for
+// not run.
+func TestNoHiddenRetry(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		c := qt.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		received := make(chan int, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			in := bufio.NewReader(conn)
+			count := readWhole(in)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			count += readWhole(in)
+			listener.Close()
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+			received <- count
+		}()
+		settings := config(listener.Addr().String())
+		settings.Method = method
+		client := newClient(settings)
+		c.Assert(client.call(context.Background(), 0, time.Now()).Status, qt.Equals, 200)
+		call := client.call(context.Background(), 0, time.Now())
+		c.Check(<-received, qt.Equals, 2)
+		c.Check(call.Verdict, qt.Equals, MayHaveRun, qt.Commentf("%s: %s", method, call.Error))
+	}
+}
+
+// readWhole reads a request with its body and returns 1, or 0 where there is
+// none.
+func readWhole(in *bufio.Reader) int {
+	request, err := http.ReadRequest(in)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return 1
+}
+
 // TestAudit guards against an audit that passes over a broken promise.
 func TestAudit(t *testing.T) {
 	c := qt.New(t)
--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -131,18 +131,25 @@
 	return refusal.Reason
 }
 
+// onceBody is a body that net/http cannot rewind. Without one, also where it is
+// empty, the library sends a request again by itself when a kept connection
+// breaks, and its error then is that of the second send.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
 func (c *client) request(host, business, key string) *http.Request {
 	separator := "?"
 	if strings.Contains(c.config.Path, "?") {
 		separator = "&"
 	}
 	target := "http://" + host + c.config.Path + separator + "business=" + business
-	req, err := http.NewRequest(c.config.Method, target, strings.NewReader(c.config.Body))
+	req, err := http.NewRequest(c.config.Method, target, onceBody{strings.NewReader(c.config.Body)})
 	if err != nil {
 		panic(err) // the settings of the run are no URL
 	}
-	// The library must not send a request again by itself.
-	req.GetBody = nil
+	req.ContentLength = int64(len(c.config.Body))
 	req.Header.Set(headerTimeout, c.config.Timeout.String())
 	if c.config.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.config.Key)
