Log what a decision rested on; hand slots over while the last requests run

The line of a request names the servers that were tried, the trust in the last one, the version in force and the age of its proof. Links to peers log when they are back.

--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -60,4 +60,12 @@
 	Reason   Reason // empty unless Refused or Failed
 	Attempts int
 	Latency  Instant // nanoseconds from arrival to the end
+	// Tried are the servers of ended attempts, in order.
+	Tried []ServerID
+	// Version is the configuration in force at the end, ConfigAge the age of the
+	// proof that it is the newest; negative without one.
+	Version   uint64
+	ConfigAge Instant
+	// Trust is the chance that Server is good, as believed when it was chosen.
+	Trust float64
 }
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -101,6 +101,16 @@
 	return sign.IsShared() && (sign != model.SignGood || wasDoubtful)
 }
 
+// Trust returns the chance that a request to the server succeeds, 1 for a server
+// that is not used.
+func (p *Pool) Trust(now model.Instant, id model.ServerID) float64 {
+	s, ok := p.byID[id]
+	if !ok {
+		return 1
+	}
+	return s.trust(now)
+}
+
 // Hear takes the sign of an attempt of another host at a server.
 func (p *Pool) Hear(now model.Instant, id model.ServerID, sign model.Sign) {
 	if s, ok := p.byID[id]; ok && sign.IsShared() {
--- a/decision/request.go
+++ b/decision/request.go
@@ -382,6 +382,13 @@
 		Reason:   r.reason,
 		Attempts: r.attempts,
 		Latency:  s.now - r.arrived,
+
+		ConfigAge: model.Instant(s.confirmationAge()),
+		Trust:     r.trust,
+		Tried:     r.tried,
+	}
+	if s.snapshot != nil {
+		outcome.Version = s.snapshot.Version
 	}
 	if r.route != nil {
 		outcome.Route = r.route.ID
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -17,7 +17,8 @@
 	queued   bool // waits in the queue of its service
 	onTurn   bool // was taken from the queue just now
 	placedAt model.Instant
-	unsent   int // attempts of which no byte was written
+	trust    float64 // in server, when it was chosen
+	unsent   int     // attempts of which no byte was written
 	// streamed is the result of an attempt whose answer still flows.
 	streamed *model.AttemptResult
 }
@@ -43,6 +44,7 @@
 	}
 	r.server = server
 	r.placed = true
+	r.trust = pool.Trust(s.now, server)
 	r.placedAt = s.now
 	return stepNext
 }
--- a/decision/stop.go
+++ b/decision/stop.go
@@ -26,8 +26,13 @@
 	s.timers.Set(timerKey{kind: timerStop}, s.now.Add(delay))
 }
 
-// onStopTimer closes the callers' port once the balancer has moved away.
-func (s *State) onStopTimer() { s.emit(effect.CloseTraffic{}) }
+// onStopTimer closes the callers' port once the balancer has moved away. Slots
+// are handed over while the last requests run, because a process that is killed
+// at the end of its time would leave them without an owner.
+func (s *State) onStopTimer() {
+	s.emit(effect.CloseTraffic{})
+	s.stopLimits()
+}
 
 func (s *State) onTrafficClosed() {
 	s.drained = true
--- a/host/peer/link.go
+++ b/host/peer/link.go
@@ -90,6 +90,10 @@
 		return false, err
 	}
 	defer s.end()
+	if l.down {
+		l.down = false
+		l.peers.config.Log.Info().Str("peer", string(l.to)).Str("address", l.address).Msg("link to peer regained")
+	}
 	err = s.run(first)
 	return s.works, err
 }
--- a/host/telemetry/observer.go
+++ b/host/telemetry/observer.go
@@ -60,6 +60,10 @@
 		Str("result", string(r.Result)).
 		Str("reason", string(r.Reason)).
 		Int("attempts", r.Attempts).
+		Float64("server_trust", float64(int(r.Trust*100))/100).
+		Uint64("version", r.Version).
+		Int64("config_age_ms", ageMilliseconds(r.ConfigAge)).
+		Strs("tried", serverNames(r.Tried)).
 		Float64("latency_ms", float64(latency.Microseconds())/1000).
 		Msg("request")
 }
@@ -68,3 +72,19 @@
 	o.metrics.notice(n.Kind)
 	o.log.Warn().Str("kind", string(n.Kind)).Str("detail", n.Detail).Msg("notice")
 }
+
+// ageMilliseconds returns an age, -1 for one that is not known.
+func ageMilliseconds(age model.Instant) int64 {
+	if age < 0 {
+		return -1
+	}
+	return milliseconds(age)
+}
+
+func serverNames(servers []model.ServerID) []string {
+	names := make([]string, len(servers))
+	for i, id := range servers {
+		names[i] = string(id)
+	}
+	return names
+}
--- a/host/telemetry/telemetry_test.go
+++ b/host/telemetry/telemetry_test.go
@@ -49,6 +49,8 @@
 	Request: 7, Name: "p-7", Account: "himal/north", Route: "rings", Service: "filing", Server: "127.0.0.1:1",
 	Class: model.Mutation, Verdict: model.Ran, Result: model.Delivered, Attempts: 1,
 	Latency: model.Instant(1500 * time.Microsecond),
+	Version: 12, ConfigAge: model.Instant(800 * time.Millisecond), Trust: 0.95,
+	Tried: []model.ServerID{"127.0.0.1:1"},
 }
 
 // TestRecord guards against outcomes that are missing from the log or the
@@ -71,6 +73,7 @@
 		"level": "info", "message": "request", "request": "p-7", "account": "himal/north",
 		"route": "rings", "service": "filing", "server": "127.0.0.1:1", "class": "mutation",
 		"verdict": "ran", "result": "delivered", "reason": "", "attempts": 1.0, "latency_ms": 1.5,
+		"version": 12.0, "config_age_ms": 800.0, "server_trust": 0.95, "tried": []any{"127.0.0.1:1"},
 	})
 	c.Assert(lines[1], qt.Contains, `"kind":"server_ejected"`)
 
