--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -98,7 +98,7 @@
 // NoticeKind is the stable name of a notice, used in logs and metrics.
 type NoticeKind string
 
-// The notices. docs/operations.md says what to do about each.
+// The notices. docs/OPERATIONS.md says what to do about each.
 const (
 	NoticeReady          NoticeKind = "ready"
 	NoticeAuthority      NoticeKind = "authority_changed"
