--- a/decision/limits_tokens.go
+++ b/decision/limits_tokens.go
@@ -18,9 +18,9 @@
 	readmitted bool
 }
 
-// admit takes a token of the request's account.
+// admit takes a token of the request's account, where it has a limit.
 func (s *State) admit(r *request) step {
-	if r.account == "" || r.token.Grant != 0 {
+	if r.account == "" || r.token.Grant != 0 || s.isUnlimited(r.account) {
 		return stepNext
 	}
 	s.limitsConfigured()
@@ -43,6 +43,11 @@
 	}
 }
 
+func (s *State) isUnlimited(id model.AccountID) bool {
+	account, ok := s.snapshot.Accounts[id]
+	return ok && account.Rate <= 0
+}
+
 func (s *State) hold(r *request, token tokens.Token) {
 	r.token = token
 	r.notAfter = min(r.notAfter, token.Until)
