Confirm by reads on hosts that watch the root, too

Found when reading the change: an owner of the watch never read the root to confirm it. Its proofs came from peers, or from watches whose age grows to twice their wait, 4.5 s of the 4.5 s that keys are accepted.

--- a/decision/config.go
+++ b/decision/config.go
@@ -151,7 +151,10 @@
 		s.watchRoot()
 	case c.newest() == 0 && c.isStoreEmpty:
 		s.watchRoot()
-	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead(), s.isConfirmationDue():
+	case c.newest() == 0, c.behind > storePatience, s.isOwnerlessRead():
+		s.readRoot()
+	}
+	if s.isConfirmationDue() {
 		s.readRoot()
 	}
 }
--- a/decision/configuration/definitions.go
+++ b/decision/configuration/definitions.go
@@ -24,7 +24,8 @@
 		Expected: "a whole number from 1 to 64"},
 		func(s *Snapshot, v string) bool { return parseCount(&s.SlotsPerDomain, v, 1, maxSlotsPerDomain) }},
 	{Setting{Name: "withdrawal", Kind: KindRoot,
-		Expected: `how soon a withdrawn key stops on every host, a duration from 1s to 10m; unset: valid keys work while the store is down for all`},
+		Expected: "how soon a withdrawn key stops on every host, a duration from 1s to 10m; " +
+			"unset: valid keys work while the store is down for all"},
 		func(s *Snapshot, v string) bool { return parseDuration(&s.Withdrawal, v, time.Second, maxTimeout) }},
 }
 
@@ -67,7 +68,8 @@
 		Expected: `names in the Host field in lower case, each once; unset: any name that no other route has`},
 		func(r *routeDraft, v string) bool { return parseHosts(&r.Hosts, v) }},
 	{Setting{Name: "path", Kind: KindRoute, Required: true, OwnOnly: true,
-		Expected: `a prefix of request paths that no other route of the host name has, such as "/rings"; one that ends with "/" has what lies below it only`},
+		Expected: `a prefix of request paths that no other route of the host name has, such as "/rings"; ` +
+			`one that ends with "/" has what lies below it only`},
 		func(r *routeDraft, v string) bool { return parseURLPath(&r.Path, v) }},
 	{Setting{Name: "methods", Kind: KindRoute, List: true,
 		Expected: `HTTP methods in upper case, each once, such as "GET"; unset allows all`},
@@ -130,7 +132,8 @@
 		Expected: "how many requests of a host wait for the service, at least 0"},
 		func(s *Service, v string) bool { return parseCount(&s.Queue, v, 0, maxCount) }},
 	{Setting{Name: "detection", Kind: KindService, Default: "counted",
-		Expected: `how failing servers are found: "counted" over all hosts by a coordinator, which ejects them, or "shared", each failure told to all hosts`},
+		Expected: `how failing servers are found: "counted" over all hosts by a coordinator, which ejects them, ` +
+			`or "shared", each failure told to all hosts`},
 		func(s *Service, v string) bool {
 			s.SharedDetection = v == "shared"
 			return v == "shared" || v == "counted"
--- a/decision/confirmation_test.go
+++ b/decision/confirmation_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// TestProofIsRenewed guards against a host that waits for its proof to run out,
+// also while it watches the root: an open watch proves nothing.
+func TestProofIsRenewed(t *testing.T) {
+	for _, isWatching := range []bool{false, true} {
+		h := newStrictHost(qt.New(t))
+		h.confirm(10*time.Second, 10*time.Second, 4)
+		config := &h.state.config
+		config.isWatching, config.isReading = isWatching, false
+		config.nextRead = model.Never // no read for want of an owner of the watch
+		isRead := false
+		for at := 10 * time.Second; at <= 13500*time.Millisecond; at += configTick {
+			for _, f := range h.at(at, event.TimerFired{}) {
+				_, ok := f.(effect.ReadRoot)
+				isRead = isRead || ok
+			}
+		}
+		h.c.Check(isRead, qt.IsTrue)
+	}
+}
+
 // TestNoProofNoDenial guards against a caller that is told its key or route does
 // not exist by a host that may lack a newer version.
 func TestNoProofNoDenial(t *testing.T) {
--- a/decision/servers_suspicion.go
+++ b/decision/servers_suspicion.go
@@ -7,7 +7,7 @@
 )
 
 // signFanout bounds the hosts that one sign is sent to. In a larger fleet each
-// sign reaches a random part of it, and the coordinator judges what lasts.
+// sign reaches a random part of it.
 const signFanout = 64
 
 // takeSign takes what an attempt says about its server and tells other hosts,
