Eject servers that most hosts avoid

Cause of the red scenario floor_worst: a host avoids a server after three failures, so the server that fails all of its work shows about twelve of them beside an estimate of its work for even use. The other failing server raises what counts as ordinary in a pool of four, and the twelve do not stand out.

Now reports say how long a host avoids a server, and one that more than half of the reporting hosts avoid, from two domains or more and in at most a third of the pool, is ejected.

--- a/decision/health/coordinator.go
+++ b/decision/health/coordinator.go
@@ -91,7 +91,9 @@
 		return
 	}
 	for _, server := range e.Servers {
-		c.suspect(server.Server).take(now, domain, tallyOf(server))
+		suspect := c.suspect(server.Server)
+		suspect.take(now, domain, tallyOf(server))
+		suspect.takeAvoidance(now, from.ID, domain, server.AvoidFor)
 	}
 	if len(e.Servers) > 0 {
 		c.decideAt = min(c.decideAt, max(now, c.decided.Add(decideInterval)))
--- a/decision/health/decide.go
+++ b/decision/health/decide.go
@@ -176,7 +176,11 @@
 		if s.phase != inUse || now < s.immuneUntil || len(s.windows) == 0 {
 			continue
 		}
-		if v := judge(now, s, f); v.isBad {
+		v := judge(now, s, f)
+		if !v.isBad {
+			v = c.judgeAvoided(now, s, f)
+		}
+		if v.isBad {
 			bad = append(bad, candidate{s, v.ratio})
 		}
 	}
--- a/decision/health/report.go
+++ b/decision/health/report.go
@@ -51,6 +51,7 @@
 	var servers []message.ServerEvidence
 	for id, c := range m.suspects {
 		if c.OK+c.Failed > 0 {
+			c.AvoidFor = max(0, m.AvoidUntil(id).Sub(now))
 			servers = append(servers, c.ServerEvidence)
 		}
 		c.ServerEvidence = message.ServerEvidence{Server: id}
--- a/decision/health/suspect.go
+++ b/decision/health/suspect.go
@@ -43,6 +43,7 @@
 	immuneUntil model.Instant
 	readmitted  model.Instant
 	lastBad     model.Instant
+	avoiders    avoiders
 }
 
 // take counts attempts. What an ejected server does is the end of work that it
@@ -98,11 +99,13 @@
 	s.readmitted = now
 	s.windows = nil
 	s.trial = nil
+	s.avoiders = nil
 }
 
 // isForgotten reports whether nothing about the server matters any more.
 func (s *suspect) isForgotten(now model.Instant) bool {
 	isRecent := now < s.lastBad.Add(buckets*bucketTime+ReportInterval)
+	isAvoided := s.avoiders.hosts(now) > 0
 	isRepeater := s.offences > 0 && now < s.readmitted.Add(offenceMemory)
-	return s.phase == inUse && !isRecent && !isRepeater && now >= s.immuneUntil
+	return s.phase == inUse && !isRecent && !isAvoided && !isRepeater && now >= s.immuneUntil
 }
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -180,6 +180,9 @@
 	Slow   int // of OK, those far slower than the pool's median
 	// TimedOut counts those of Failed that ran into the caller's deadline.
 	TimedOut int
+	// AvoidFor is how long the sender goes on to prefer other servers; 0 where it
+	// does not.
+	AvoidFor time.Duration
 }
 
 // Sign says what one attempt of the sender says about a server.
