Share the platform's list of hosts and servers between hosts

Now the owners of slot 0 follow the list, and the others ask them for changes after the revision that they know, with an age that counts from the question. A host without a fresh answer follows the store itself. The proof of the configuration's version travels with the answer. decision/directory keeps the entries; the reducer orders the adapter to follow or not; addresses of hosts reach the peer links as an effect, no longer past the reducer.

--- a/decision/configuration/definitions.go
+++ b/decision/configuration/definitions.go
@@ -14,6 +14,8 @@
 	maxPriority       = 1000
 	maxAttempts       = 10
 	maxCount          = 1_000_000
+	// minListAge leaves time for several questions between hosts.
+	minListAge = 500 * time.Millisecond
 )
 
 var rootDefinitions = []definition[Snapshot]{
@@ -23,6 +25,10 @@
 	{Setting{Name: "slots_per_domain", Kind: KindRoot, Default: "4",
 		Expected: "a whole number from 1 to 64"},
 		func(s *Snapshot, v string) bool { return parseCount(&s.SlotsPerDomain, v, 1, maxSlotsPerDomain) }},
+	{Setting{Name: "list_age", Kind: KindRoot,
+		Expected: "how old the list of hosts and servers may be before a host follows it itself, " +
+			"a duration from 500ms to 10m; unset: each host always does"},
+		func(s *Snapshot, v string) bool { return parseDuration(&s.ListAge, v, minListAge, maxTimeout) }},
 	{Setting{Name: "withdrawal", Kind: KindRoot,
 		Expected: "how soon a withdrawn key stops on every host, a duration from 1s to 10m; " +
 			"unset: valid keys work while the store is down for all"},
--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -14,6 +14,9 @@
 	Domains []model.DomainID
 	// SlotsPerDomain is the number of slots in each failure domain.
 	SlotsPerDomain int
+	// ListAge is how old a host's view of the platform's list may be before the
+	// host follows the list itself; 0: each host always does.
+	ListAge time.Duration
 	// Withdrawal is how soon a withdrawn key must stop working on every host,
 	// in touch with the store or not; 0: valid keys go on working while the
 	// store is down for all.
--- a/decision/confirmation.go
+++ b/decision/confirmation.go
@@ -21,7 +21,7 @@
 	// readSomeAfter and readAfter are the parts of the bound, in tenths, after
 	// which one host of the fleet and each host reads the root itself. In
 	// between, one host's proof reaches the others by heartbeats.
-	readSomeAfter = 3
+	readSomeAfter = 4
 	readAfter     = 5
 )
 
@@ -59,6 +59,18 @@
 	return s.now.Sub(s.config.confirmedAt)
 }
 
+// confirmation returns what other hosts are told of the version in force, 0 for
+// none: that no newer one existed the returned time ago, if that is confirmed.
+func (s *State) confirmation() (version uint64, isConfirmed bool, age time.Duration) {
+	if s.snapshot != nil {
+		version = s.snapshot.Version
+	}
+	if age := s.confirmationAge(); age >= 0 {
+		return version, true, age
+	}
+	return version, false, 0
+}
+
 // keysUntil returns the instant until which keys are accepted on the present
 // proof.
 func (s *State) keysUntil() model.Instant {
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -86,6 +86,20 @@
 // shards. It reaches no store.
 type DecodeShards struct{ Shards []configuration.Shard }
 
+// FollowList starts or stops the following of the host list in the store. Where
+// it starts, event.ListFollowed tells what changed since the revisions.
+type FollowList struct {
+	IsOn bool
+	// IsForOthers says that other hosts ask this one for changes, so that the
+	// store has to answer often, also where nothing changes.
+	IsForOthers     bool
+	HostsRevision   uint64 // 0: none
+	ServersRevision uint64
+}
+
+// SetHosts tells the addresses of the entry hosts to what sends messages.
+type SetHosts struct{ Entries []model.HostEntry }
+
 // Record hands a finished request to logs and metrics.
 type Record struct{ Outcome model.Outcome }
 
@@ -110,6 +124,7 @@
 	NoticeAtFloor        NoticeKind = "service_at_floor"
 	NoticeLeaving        NoticeKind = "server_leaving"
 	NoticeVersion        NoticeKind = "configuration_in_force"
+	NoticeList           NoticeKind = "host_list_source"
 	NoticeBadMessage     NoticeKind = "bad_peer_message"
 	// NoticeVersionRejected: a version in the store does not validate; the
 	// one before stays in force.
@@ -178,6 +193,8 @@
 func (WatchRoot) effect()    {}
 func (ReadShards) effect()   {}
 func (DecodeShards) effect() {}
+func (FollowList) effect()   {}
+func (SetHosts) effect()     {}
 func (Record) effect()       {}
 func (Notice) effect()       {}
 func (SetReady) effect()     {}
--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -71,9 +71,13 @@
 	Message message.Message
 }
 
-// HostsListed carries the platform's host list.
-type HostsListed struct {
-	Entries []model.HostEntry
+// HostsListed carries the platform's host list where it has no revisions.
+type HostsListed struct{ Entries []model.HostEntry }
+
+// ListFollowed carries what the store told of a part of the host list. It comes
+// after each answer, also where nothing changed.
+type ListFollowed struct {
+	Changes model.ListChanges
 	// Resumed says that the list could not be followed before. Entries that
 	// lapsed meanwhile may come back soon.
 	Resumed bool
@@ -150,6 +154,7 @@
 func (TimerFired) event()      {}
 func (PeerReceived) event()    {}
 func (HostsListed) event()     {}
+func (ListFollowed) event()    {}
 func (SlotRead) event()        {}
 func (SlotSwapped) event()     {}
 func (RootRead) event()        {}
--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -32,3 +32,16 @@
 	}
 	return true
 }
+
+// IsListed reports whether a backend server is in the host's list.
+func IsListed(s *State, id string) bool {
+	for _, e := range s.servers.list {
+		if e.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// FollowsStore reports whether the host follows the list in the store.
+func FollowsStore(s *State) bool { return s.directory.source != peers }
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -38,12 +38,7 @@
 }
 
 func (s *State) fillHeartbeat(m message.Heartbeat) message.Heartbeat {
-	if s.snapshot != nil {
-		m.Version = s.snapshot.Version
-	}
-	if age := s.confirmationAge(); age >= 0 {
-		m.Confirmed, m.ConfigAge = true, age
-	}
+	m.Version, m.Confirmed, m.ConfigAge = s.confirmation()
 	m.Leaving = s.leavingServers()
 	m.Stopping = s.stopping
 	return m
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -185,6 +185,33 @@
 	AvoidFor time.Duration
 }
 
+// ListAsk asks a host that follows the host list in the store for what changed
+// after the revisions of the sender.
+type ListAsk struct {
+	Sequence        uint64 // unique for the sender's incarnation
+	HostsRevision   uint64
+	ServersRevision uint64
+}
+
+// ListAnswer answers ListAsk.
+type ListAnswer struct {
+	Sequence uint64
+	// IsFollowed says that the sender follows the list. Otherwise nothing else
+	// is set.
+	IsFollowed bool
+	// Age is the time since the store's last answer about servers.
+	Age     time.Duration
+	Changes []model.ListChanges // of the parts that changed
+	// Version, Confirmed and ConfigAge are as in Heartbeat.
+	Version   uint64
+	Confirmed bool
+	ConfigAge time.Duration
+	// Resumed says that the sender could not follow the list until ResumedAge
+	// ago.
+	Resumed    bool
+	ResumedAge time.Duration
+}
+
 // Sign says what one attempt of the sender says about a server.
 type Sign struct {
 	Service model.ServiceID
@@ -349,6 +376,8 @@
 func (Evidence) message()          {}
 func (EjectionSet) message()       {}
 func (Sign) message()              {}
+func (ListAsk) message()           {}
+func (ListAnswer) message()        {}
 func (ConfigOffer) message()       {}
 func (ShardAsk) message()          {}
 func (Shards) message()            {}
--- a/decision/model/host.go
+++ b/decision/model/host.go
@@ -45,3 +45,21 @@
 	// before it, or where there was none.
 	Continuous bool
 }
+
+// ListItem is an entry of the platform's host list with its last change.
+type ListItem struct {
+	Name      string // unique among the entries of a role
+	Revision  uint64 // of its last change
+	IsRemoved bool
+	Entry     HostEntry // zero where it was removed
+}
+
+// ListChanges is what is new in the entries of a role.
+type ListChanges struct {
+	Role Role
+	// IsWhole says that Items are all entries. Otherwise they are those that
+	// changed since the revision that the receiver has.
+	IsWhole  bool
+	Items    []ListItem
+	Revision uint64 // up to which the changes are complete
+}
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -41,6 +41,8 @@
 		s.onPeerReceived(b.From, b.Message)
 	case event.HostsListed:
 		s.onHostsListed(b)
+	case event.ListFollowed:
+		s.onListFollowed(b)
 	case event.SlotRead:
 		s.onSlotRead(b)
 	case event.SlotSwapped:
@@ -67,6 +69,7 @@
 	s.startLimits()
 	s.startClaims()
 	s.startServers()
+	s.startDirectory()
 }
 
 func (s *State) onPeerReceived(from model.HostRef, m message.Message) {
@@ -91,6 +94,10 @@
 		s.onEjectionSet(from, m)
 	case message.Sign:
 		s.onSign(m)
+	case message.ListAsk:
+		s.onListAsk(from, m)
+	case message.ListAnswer:
+		s.onListAnswer(from, m)
 	case message.ConfigOffer:
 		s.onConfigOffer(from, m)
 	case message.ShardAsk:
@@ -102,10 +109,14 @@
 	}
 }
 
-func (s *State) onHostsListed(e event.HostsListed) {
-	s.configHostsListed(e.Entries)
-	s.limitsHostsListed(e.Entries)
-	s.serversHostsListed(e)
+func (s *State) onHostsListed(e event.HostsListed) { s.takeHostList(e.Entries) }
+
+// takeHostList takes a whole list of hosts and backend servers.
+func (s *State) takeHostList(entries []model.HostEntry) {
+	s.emit(effect.SetHosts{Entries: entries})
+	s.configHostsListed(entries)
+	s.limitsHostsListed(entries)
+	s.serversHostsListed(entries)
 }
 
 // fireDue runs every deadline that has passed.
@@ -129,6 +140,8 @@
 		s.onLimitsTimer(key.id)
 	case timerClaims:
 		s.onClaimsTimer(key.id)
+	case timerDirectory:
+		s.onDirectoryTimer()
 	case timerServers:
 		s.onServersTimer(key.id)
 	case timerStop:
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"pollensail.dev/decision/configuration"
-	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/health"
 	"pollensail.dev/decision/model"
 	"pollensail.dev/decision/placement"
@@ -106,9 +105,9 @@
 
 // serversHostsListed takes the members that the host list adds, the servers
 // that it says are leaving, and the number of hosts that share the servers.
-func (s *State) serversHostsListed(e event.HostsListed) {
-	s.servers.told = e.Entries
-	s.takeList(s.withAbsent(e.Entries, e.Resumed))
+func (s *State) serversHostsListed(entries []model.HostEntry) {
+	s.servers.told = entries
+	s.takeList(s.withAbsent(entries))
 }
 
 // takeList puts a list into force, unless an equal one is.
--- a/decision/servers_absent.go
+++ b/decision/servers_absent.go
@@ -17,16 +17,24 @@
 	servers []model.HostEntry
 }
 
+// listResumed keeps the servers in use for as long as they may take to come back
+// to a list that could not be followed before the given instant.
+func (s *State) listResumed(at model.Instant) {
+	a := &s.servers.absent
+	until := at.Add(returnWithin)
+	if s.now >= until || until <= a.until {
+		return
+	}
+	a.servers = slices.Clone(s.servers.list)
+	a.until = until
+	s.timers.Set(timerKey{timerServers, serversTimerAbsent}, until)
+}
+
 // withAbsent returns the entries and those servers that may still come back:
 // they were in use before the list could not be followed, and no host said that
 // they leave.
-func (s *State) withAbsent(entries []model.HostEntry, isResumed bool) []model.HostEntry {
+func (s *State) withAbsent(entries []model.HostEntry) []model.HostEntry {
 	a := &s.servers.absent
-	if isResumed {
-		a.until = s.now.Add(returnWithin)
-		a.servers = slices.Clone(s.servers.list)
-		s.timers.Set(timerKey{timerServers, serversTimerAbsent}, a.until)
-	}
 	if s.now >= a.until {
 		a.servers = nil
 		return entries
--- a/decision/state.go
+++ b/decision/state.go
@@ -36,6 +36,8 @@
 	limits  limitState
 	claims  claimState
 	servers serverState
+	// directory is the platform's list of hosts and servers.
+	directory directoryState
 }
 
 // NewState returns the state of a process that has not started.
@@ -49,6 +51,8 @@
 		limits:   newLimitState(),
 		claims:   newClaimState(),
 		servers:  newServerState(),
+
+		directory: newDirectoryState(),
 	}
 }
 
@@ -67,6 +71,7 @@
 	timerLimits
 	timerClaims
 	timerServers
+	timerDirectory
 	timerStop
 )
 
--- a/host/control/loop.go
+++ b/host/control/loop.go
@@ -23,8 +23,14 @@
 type Traffic interface{ Apply(effect.Effect) }
 
 // Peers sends messages to other hosts. A message that cannot be sent at once
-// is dropped.
-type Peers interface{ Send(effect.Send) }
+// is dropped. SetHosts tells the addresses of the hosts.
+type Peers interface {
+	Send(effect.Send)
+	SetHosts([]model.HostEntry)
+}
+
+// List follows the platform's list of hosts and servers in the store.
+type List interface{ Follow(effect.FollowList) }
 
 // Store carries out ReadSlot, SwapSlot, ReadRoot, WatchRoot, ReadShards and
 // DecodeShards and posts the answers.
@@ -39,6 +45,7 @@
 	Traffic  Traffic
 	Peers    Peers
 	Store    Store
+	List     List
 	Observer Observer
 }
 
@@ -138,6 +145,10 @@
 		l.adapters.Traffic.Apply(f)
 	case effect.Send:
 		l.adapters.Peers.Send(f)
+	case effect.SetHosts:
+		l.adapters.Peers.SetHosts(f.Entries)
+	case effect.FollowList:
+		l.adapters.List.Follow(f)
 	case effect.SetTimer:
 		l.timer.Reset(time.Until(l.Time(f.At)))
 	case effect.ReadSlot, effect.SwapSlot, effect.ReadRoot, effect.WatchRoot, effect.ReadShards, effect.DecodeShards:
--- a/host/peer/envelope.go
+++ b/host/peer/envelope.go
@@ -65,6 +65,8 @@
 	plain[message.HandoverCommit](),
 	plain[message.HandoverCommitAck](),
 	plain[message.Sign](),
+	plain[message.ListAsk](),
+	plain[message.ListAnswer](),
 }
 
 // plain is the kind of a message that travels as it is.
--- a/host/peer/envelope_test.go
+++ b/host/peer/envelope_test.go
@@ -47,6 +47,11 @@
 	message.HandoverCommit{Stored: true},
 	message.HandoverCommitAck{},
 	message.Sign{Service: "lookup", Server: "127.0.0.1:1", Sign: model.SignBroken},
+	message.ListAsk{Sequence: 7, HostsRevision: 3, ServersRevision: 9},
+	message.ListAnswer{Sequence: 7, IsFollowed: true, Age: time.Second, Changes: []model.ListChanges{{
+		Role: model.RoleBackend, IsWhole: true, Revision: 9,
+		Items: []model.ListItem{{Name: "i-a", Revision: 8, Entry: model.HostEntry{ID: "a:1", Role: model.RoleBackend}}},
+	}}},
 }
 
 // put writes a message as a session does.
--- a/host/process/environment.go
+++ b/host/process/environment.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/model"
 	"pollensail.dev/host/settings"
@@ -28,6 +29,8 @@
 type Directory interface {
 	// Run posts the list as it changes, until ctx ends.
 	Run(ctx context.Context, d DirectoryTask) error
+	// Follow starts or stops that. Run starts with it on. It does not block.
+	Follow(effect.FollowList)
 }
 
 // DirectoryTask is what a Directory works with.
@@ -36,8 +39,6 @@
 	Post    func(event.Body) bool
 	Timeout time.Duration // of a call that does not wait
 	Log     *log.Logger
-	// Listed gets each list before it is posted.
-	Listed func([]model.HostEntry)
 }
 
 // Own returns the environment of the product's own protocols.
@@ -49,8 +50,11 @@
 // polled reads the list again and again.
 type polled struct{ lister store.Lister }
 
+// Follow implements Directory. A list without revisions is always read.
+func (p polled) Follow(effect.FollowList) {}
+
 // Run implements Directory.
 func (p polled) Run(ctx context.Context, d DirectoryTask) error {
-	list := store.HostList{Store: p.lister, Post: d.Post, Timeout: d.Timeout, Log: d.Log, Listed: d.Listed}
+	list := store.HostList{Store: p.lister, Post: d.Post, Timeout: d.Timeout, Log: d.Log}
 	return list.Run(ctx)
 }
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -144,11 +144,12 @@
 	p.loop.Connect(control.Adapters{
 		Traffic:  traffic{p.frontend, p.loop},
 		Peers:    peers,
+		List:     p.around.Directory,
 		Store:    store.NewCaller(ctx, p.around.Records, p.loop, timeout, logger),
 		Observer: p.observer,
 	})
 	task := DirectoryTask{
-		Self: p.entry(), Post: p.loop.Post, Timeout: timeout, Log: logger, Listed: peers.SetHosts,
+		Self: p.entry(), Post: p.loop.Post, Timeout: timeout, Log: logger,
 	}
 	group.Go(func() error { return peers.Serve(ctx, p.listeners.peer) })
 	group.Go(func() error { return p.around.Directory.Run(ctx, task) })
--- a/host/store/hostlist.go
+++ b/host/store/hostlist.go
@@ -40,9 +40,6 @@
 	Post    func(event.Body) bool
 	Timeout time.Duration
 	Log     *log.Logger
-	// Listed, when set, also gets each list, before the reducer does. The
-	// peer links take the addresses from it.
-	Listed func([]model.HostEntry)
 }
 
 // Run reads until ctx ends, which it returns.
@@ -73,9 +70,6 @@
 	if err != nil {
 		return hostListPeriod, err
 	}
-	if h.Listed != nil {
-		h.Listed(entries)
-	}
 	h.Post(event.HostsListed{Entries: entries})
 	return listPeriod(entries), nil
 }
