Spread signs of failing servers to every host in two hops

Cause: a sign went to at most 64 random hosts.

Now a sign goes to each host of its origin's failure domain, and in each other domain to two hosts that were heard of and pass it on there. Receivers take it once, by origin and sequence.

Ruled out: a fanout without bound (as many copies across domains as hosts).

Tests: 650 hosts reached with one relay of each domain gone, each sign counted once.

--- /dev/null
+++ b/decision/broadcast/broadcast_test.go
@@ -0,0 +1,82 @@
+package broadcast
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollensail.dev/decision/model"
+)
+
+func hosts(n, domains int) []model.HostEntry {
+	var entries []model.HostEntry
+	for i := range n {
+		entries = append(entries, model.HostEntry{
+			ID: fmt.Sprintf("h%d", i), Role: model.RoleEntry, Domain: model.DomainID(fmt.Sprintf("d%d", i%domains)),
+		})
+	}
+	return entries
+}
+
+// TestReach guards against hosts that a message does not reach, as in a fleet
+// larger than what one host sends to, and while one relay of a domain has ended.
+func TestReach(t *testing.T) {
+	c := qt.New(t)
+	const n, domains = 650, 6
+	entries := hosts(n, domains)
+	states := make(map[model.HostID]*State)
+	for _, e := range entries {
+		s := New()
+		s.SetHosts(model.HostID(e.ID), e.Domain, entries)
+		states[model.HostID(e.ID)] = s
+	}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	sender := states["h0"]
+	far := sender.Relays(rnd, func(model.HostID) bool { return true })
+	c.Assert(far, qt.HasLen, relays*(domains-1))
+	reached := map[model.HostID]int{"h0": 1}
+	for _, id := range sender.Near() {
+		reached[id]++
+	}
+	for i, id := range far {
+		if i%relays == 0 {
+			continue // ended
+		}
+		reached[id]++
+		for _, next := range states[id].Near() {
+			reached[next]++
+		}
+	}
+	c.Check(len(reached) >= n-(domains-1), qt.IsTrue, qt.Commentf("%d", len(reached)))
+}
+
+// TestRelaysAlive guards against relays that were not heard of while others were.
+func TestRelaysAlive(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	s.SetHosts("h0", "d0", hosts(40, 4))
+	isAlive := func(id model.HostID) bool { return id == "h1" || id == "h5" }
+	far := s.Relays(rand.New(rand.NewPCG(1, 2)), isAlive)
+	c.Check(far, qt.HasLen, 3*relays)
+	c.Check(far, qt.Contains, model.HostID("h1"))
+	c.Check(far, qt.Contains, model.HostID("h5"))
+}
+
+// TestTake guards against a message that counts twice because two relays passed
+// it on, and against one that is lost because others overtook it.
+func TestTake(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	origin := model.HostRef{ID: "h1", Incarnation: 5}
+	c.Check(s.Take(origin, 1), qt.IsTrue)
+	c.Check(s.Take(origin, 1), qt.IsFalse)
+	c.Check(s.Take(origin, 4), qt.IsTrue)
+	c.Check(s.Take(origin, 3), qt.IsTrue)
+	c.Check(s.Take(origin, 3), qt.IsFalse)
+	c.Check(s.Take(origin, 4+windowSize), qt.IsTrue)
+	c.Check(s.Take(origin, 4), qt.IsFalse)
+	c.Check(s.Take(model.HostRef{ID: "h1", Incarnation: 6}, 1), qt.IsTrue)
+	c.Check(s.Take(origin, 4+windowSize+1), qt.IsFalse)
+}
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -258,12 +258,18 @@
 	return members
 }
 
+// IsHeard reports whether a listed host was heard within Window.
+func (s *State) IsHeard(now model.Instant, id model.HostID) bool {
+	h, ok := s.hosts[id]
+	return ok && h.known && h.at.Add(Window) > now
+}
+
 func (s *State) member(now model.Instant, id model.HostID) Member {
 	h := s.hosts[id]
 	m := Member{
 		Ref:     h.ref,
 		Domain:  h.entry.Domain,
-		Heard:   h.known && h.at.Add(Window) > now,
+		Heard:   s.IsHeard(now, id),
 		Staying: !h.entry.Leaving && !h.stopping,
 	}
 	if h.known {
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -212,11 +212,15 @@
 	ResumedAge time.Duration
 }
 
-// Sign says what one attempt of the sender says about a server.
+// Sign says what one attempt of its origin says about a server. It is broadcast.
 type Sign struct {
-	Service model.ServiceID
-	Server  model.ServerID
-	Sign    model.Sign
+	Origin   model.HostRef
+	Sequence uint64 // unique for the origin's incarnation
+	// IsRelayed asks the receiver to pass it on in its failure domain.
+	IsRelayed bool
+	Service   model.ServiceID
+	Server    model.ServerID
+	Sign      model.Sign
 }
 
 // EjectionSet is the whole set of servers of a service that get no ordinary
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"pollensail.dev/decision/broadcast"
 	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/health"
 	"pollensail.dev/decision/model"
@@ -40,6 +41,8 @@
 	// that ends while it is advanced does not start over.
 	serving map[model.ServiceID]bool
 
+	// signs spreads what attempts say about servers.
+	signs        *broadcast.State
 	monitors     map[model.ServiceID]*health.Monitor
 	evidenceAt   model.Instant // time of the evidence timer
 	coordinators map[model.ServiceID]*health.Coordinator
@@ -63,6 +66,7 @@
 func newServerState() serverState {
 	return serverState{
 		roster:       placement.NewRoster(),
+		signs:        broadcast.New(),
 		quiet:        make(map[model.SlotID]model.Instant),
 		pools:        make(map[model.ServiceID]*placement.Pool),
 		listed:       make(map[model.ServiceID][]model.ServerID),
@@ -130,6 +134,7 @@
 			s.listEntryHost(e)
 		}
 	}
+	s.servers.signs.SetHosts(s.self.ID, s.domain, entries)
 	for _, id := range s.servers.roster.Listed(s.now, entries) {
 		s.noticeLeaving(id, "the host list")
 	}
--- a/decision/servers_suspicion.go
+++ b/decision/servers_suspicion.go
@@ -6,10 +6,6 @@
 	"pollensail.dev/decision/placement"
 )
 
-// signFanout bounds the hosts that one sign is sent to. In a larger fleet each
-// sign reaches a random part of it.
-const signFanout = 64
-
 // sharesSigns reports whether hosts tell each other of single failures of a
 // service's servers.
 func (s *State) sharesSigns(id model.ServiceID) bool {
@@ -23,12 +19,24 @@
 	if !pool.Observe(s.now, r.server, sign) {
 		return
 	}
-	m := message.Sign{Service: r.service, Server: r.server, Sign: sign}
-	peers := s.config.peers
-	if len(peers) > signFanout {
-		peers = s.randomPeers(signFanout)
+	m := message.Sign{
+		Origin:   s.self,
+		Sequence: s.servers.signs.Next(),
+		Service:  r.service,
+		Server:   r.server,
+		Sign:     sign,
+	}
+	s.sendNear(m)
+	m.IsRelayed = true
+	isAlive := func(id model.HostID) bool { return s.limits.members.IsHeard(s.now, id) }
+	for _, relay := range s.servers.signs.Relays(s.rand, isAlive) {
+		s.send(relay, m)
 	}
-	for _, peer := range peers {
+}
+
+// sendNear sends a sign to the other hosts of this host's failure domain.
+func (s *State) sendNear(m message.Sign) {
+	for _, peer := range s.servers.signs.Near() {
 		s.send(peer, m)
 	}
 }
@@ -56,6 +64,13 @@
 
 // onSign takes what another host saw of a server.
 func (s *State) onSign(m message.Sign) {
+	if m.Origin.ID == s.self.ID || !s.servers.signs.Take(m.Origin, m.Sequence) {
+		return
+	}
+	if m.IsRelayed {
+		m.IsRelayed = false
+		s.sendNear(m)
+	}
 	if pool := s.pool(m.Service); pool != nil {
 		pool.Hear(s.now, m.Server, m.Sign)
 	}
