Choose unsuspected servers more firmly, and try the others while short

A suspected server is idle, and of two draws the less loaded wins, so it won whenever it was drawn; and suspicion faded with 8 s while bad times last longer.

Now the power of trust is 20 for them, an idle server that is trusted less wins only where the other has half its slots in use, and suspicion fades with 12 s.

--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -65,12 +65,24 @@
 		return first
 	}
 	second := p.eligible[p.draw(rnd)]
-	if second.load(now, p.limits.Slots) < first.load(now, p.limits.Slots) {
+	if p.isPreferred(now, second, first) {
 		return second
 	}
 	return first
 }
 
+// busyLoad is the load from which a server is left for one that is trusted less.
+const busyLoad = 0.5
+
+// isPreferred reports whether a server is preferred to another that was drawn
+// before it. A suspected server is idle because it is suspected, which is no
+// reason to choose it while the other has room.
+func (p *Pool) isPreferred(now model.Instant, s, other *server) bool {
+	load := other.load(now, p.limits.Slots)
+	isLessLoaded := s.load(now, p.limits.Slots) < load
+	return isLessLoaded && (load >= busyLoad || s.trust(now) >= other.trust(now)-usualDoubt)
+}
+
 // farShare is the share of the draws that a server in another failure domain
 // gets for a large answer, in relation to one that is near. It is small enough
 // that a near server is chosen unless it is suspected or busy.
@@ -81,8 +93,13 @@
 // far.
 func (p *Pool) weigh(now model.Instant, d Demand) {
 	p.shares = p.shares[:0]
+	isShort := p.shortage.isShort(now)
 	for _, s := range p.eligible {
-		share := s.share(now, p.limits.ColdRamp) * power(s.trust(now), d.caution())
+		trust := power(s.trust(now), d.caution())
+		if isShort && s.isOnTrial(now) {
+			trust = max(trust, trialShare)
+		}
+		share := s.share(now, p.limits.ColdRamp) * trust
 		if d.IsLarge && !s.IsNear {
 			share *= farShare
 		}
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -28,6 +28,7 @@
 	inFlight int
 	queue    queue
 	budget   budget
+	shortage shortage
 	// held is how long a request keeps its place: the mean gives the rate at
 	// which places become free, the fast quantile what a request needs at
 	// least.
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -19,7 +19,7 @@
 	leastOdds = -4.0
 	// suspicionTime is the time constant of the return, about the length of a
 	// bad time.
-	suspicionTime = 8 * time.Second
+	suspicionTime = 12 * time.Second
 )
 
 // serverWeights are what the signs add to the belief about the server, and
@@ -75,6 +75,9 @@
 // usualTrust is the trust without any attempt, which most servers have.
 var usualTrust = 1 / (1 + math.Exp(usualOdds))
 
+// usualDoubt is the difference in trust that says nothing.
+const usualDoubt = 0.05
+
 // trust returns the chance that a request to the server succeeds.
 func (s *server) trust(now model.Instant) float64 {
 	trust := s.suspicion.trust(now)
@@ -89,7 +92,7 @@
 	// are chosen. A request that may be sent again finds out whether a suspected
 	// server works again; one that may run only once goes to the least suspected.
 	repeatableCaution = 2
-	onceCaution       = 6
+	onceCaution       = 20
 	// doubtful is the trust below which a good attempt is worth telling others.
 	doubtful = 0.9
 )
--- a/decision/request.go
+++ b/decision/request.go
@@ -364,7 +364,35 @@
 	return model.Delivered
 }
 
+// isShortfall reports whether the request ended without service for want of a
+// server or of a token. A request that is not allowed, as one above its account's
+// rate, says nothing about the service.
+func (r *request) isShortfall() bool {
+	if r.result == model.Delivered {
+		return false
+	}
+	switch r.reason {
+	case model.ReasonOverloaded, model.ReasonNoServer, model.ReasonServerFailed, model.ReasonBadAnswer,
+		model.ReasonTimedOut, model.ReasonTokensUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// trustAtEnd returns the trust in the server of the last attempt, 1 where there
+// was none.
+func (r *request) trustAtEnd() float64 {
+	if r.attempts == 0 {
+		return 1
+	}
+	return r.trust
+}
+
 func (s *State) record(r *request) {
+	if pool := s.pool(r.service); pool != nil {
+		pool.CountEnd(s.now, !r.isShortfall(), r.trustAtEnd())
+	}
 	outcome := model.Outcome{
 		Request:  r.Request,
 		Name:     r.Name,
