Add pollenctl explain: what the logs say about one request

Engineers on call have only logs; the way from a request's id to its cause was a chain of greps by hand. The command gathers the request's lines, the changes of state of any host around it and failed requests at its servers, from files or standard input.

--- a/decision/hostlist.go
+++ b/decision/hostlist.go
@@ -103,7 +103,7 @@
 	case s.ownsSlot0():
 		s.followList(storeForOthers, "owner of the watch")
 	case !s.isListFresh():
-		s.followList(storeAlone, fmt.Sprintf("no host that follows it has answered for %v", s.now.Sub(d.freshAt)))
+		s.followList(storeAlone, fmt.Sprintf("no host that follows it has answered for %v", s.now.Sub(d.freshAt).Round(listTick)))
 	case isAnswered && d.answeredSince != model.Never && s.now.Sub(d.answeredSince) >= s.listAge()/listHysteresis:
 		s.followList(peers, "they answer")
 	}
--- a/host/cmd/pollenctl/tool.go
+++ b/host/cmd/pollenctl/tool.go
@@ -95,7 +95,7 @@
 	flags.StringVar(&t.output, "output", outputText, "form of the output: text or json")
 	flags.StringVar(&t.author, "author", cmp.Or(os.Getenv("USER"), "unknown"), "name to record with an edit")
 	flags.DurationVar(&t.timeout, "timeout", defaultTimeout, "longest time for the whole command")
-	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand(), t.statusCommand(), settingsTopic())
+	root.AddCommand(t.treeCommand(), t.checkCommand(), t.keyCommand(), t.statusCommand(), t.explainCommand(), settingsTopic())
 	return root
 }
 
--- a/host/cmd/pollenctl/tool_test.go
+++ b/host/cmd/pollenctl/tool_test.go
@@ -236,3 +236,16 @@
 	r.m.hosts[0].Leaving = false
 	r.fails(exitNotDone, `version 7 is not .*`, "status", "--wait", "7", "--timeout", "400ms")
 }
+
+// TestExplain guards against an explanation from logs that lack the request, and
+// against logs that cannot be read passing for empty ones.
+func TestExplain(t *testing.T) {
+	r := newTerminal(t)
+	log := r.file("n1.log", `{"time":"2026-04-30T18:00:05Z","request":"abc","result":"failed","message":"request"}`+"\n")
+	out := r.must("explain", "abc", log)
+	r.c.Check(out, qt.Contains, "request: 1 lines")
+	r.c.Check(out, qt.Contains, `"request":"abc"`)
+	r.fails(exitNotDone, "xyz: no line of the logs has this request.*", "explain", "xyz", log)
+	code, _, _ := r.run("explain", "abc", "missing.log")
+	r.c.Check(code, qt.Not(qt.Equals), exitDone)
+}
