--- a/decision/hostlist.go
+++ b/decision/hostlist.go
@@ -20,11 +20,11 @@
 const (
 	// listTick is how often the source of the list is looked at.
 	listTick = 100 * time.Millisecond
-	// listAsks is how many questions a host asks within list_age, and
-	// listAnswers how many of them it could ask one after the other, each in
-	// vain, before it follows the list itself.
-	listAsks    = 3
-	listAnswers = 5
+	// listAsks is how many questions a host asks within list_age while they are
+	// answered, and listTries how many while they are not, so that it can try the
+	// owners in several domains before it follows the list itself.
+	listAsks  = 3
+	listTries = 5
 	// listHysteresis is how long, in parts of list_age, answers have to come
 	// before a host that follows the list itself relies on them.
 	listHysteresis = 2
@@ -193,7 +193,7 @@
 	d := &s.directory
 	pause := s.listAge() / listAsks
 	if d.ask.isOpen || d.ask.failures > 0 {
-		pause = s.listAge() / listAnswers
+		pause = s.listAge() / listTries
 	}
 	if s.now.Sub(d.ask.at) < pause {
 		return
