Take signs of a restarted host whose clock was set back; names

Incarnations start with the wall clock, so that after a step back the signs of a restarted host had counted as old until the list dropped it.

--- a/decision/broadcast/broadcast.go
+++ b/decision/broadcast/broadcast.go
@@ -92,11 +92,13 @@
 // Take reports whether a message has not been taken before.
 func (s *State) Take(origin model.HostRef, sequence uint64) bool {
 	w, ok := s.taken[origin.ID]
-	if !ok || w.incarnation < origin.Incarnation {
+	// A later incarnation need not be greater: the origin's wall clock may have
+	// been set back.
+	if !ok || w.incarnation != origin.Incarnation {
 		w = &window{incarnation: origin.Incarnation}
 		s.taken[origin.ID] = w
 	}
-	return w.incarnation == origin.Incarnation && w.take(sequence)
+	return w.take(sequence)
 }
 
 // windowSize is how far back of the newest message of an origin others are
--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -96,8 +96,8 @@
 	isShort := p.shortage.isShort(now)
 	for _, s := range p.eligible {
 		trust := power(s.trust(now), d.caution())
-		if isShort && s.isOnTrial(now) {
-			trust = max(trust, trialShare)
+		if isShort && s.isRested(now) {
+			trust = max(trust, restedShare)
 		}
 		share := s.share(now, p.limits.ColdRamp) * trust
 		if d.IsLarge && !s.IsNear {
--- a/decision/placement/shortage.go
+++ b/decision/placement/shortage.go
@@ -21,8 +21,10 @@
 	shortageMargin = 1.0
 	// restTime is how long a server is left alone after its last sign.
 	restTime = 1500 * time.Millisecond
-	// trialShare is the share of the draws that a server gets after that.
-	trialShare = 0.25
+	// restedShare is the share of the draws that a server gets after that.
+	restedShare = 0.25
+	// reachableTrust is the trust in the path from which a server counts as reached.
+	reachableTrust = 0.5
 )
 
 // shortage counts the requests of a service at one host, with exponential decay.
@@ -56,10 +58,10 @@
 	p.shortage.count(now, isServed || trust < doubtful)
 }
 
-// isOnTrial reports whether a suspected server is to be tried, because the
+// isRested reports whether a suspected server is to be tried, because the
 // service is short and the server was left alone for a while. A server that this
 // host does not reach is no help.
-func (s *server) isOnTrial(now model.Instant) bool {
-	isReachable := s.path.above == 0 || s.path.trust(now) > 0.5
+func (s *server) isRested(now model.Instant) bool {
+	isReachable := s.path.above == 0 || s.path.trust(now) > reachableTrust
 	return isReachable && now.Sub(s.suspicion.at) >= restTime
 }
