Read-through: what stood twice or was derivable

No change of behaviour.

- The shortest list_age stood in the tree and in the adapter; the adapter uses configuration.MinListAge.
- The other entry hosts stood in config.peers and again in servers.peers; ejection sets go to config.peers.
- Proofs of peers were taken by the same lines for heartbeats and for answers about the list; hearConfirmation does both.
- Three copies of an exponential decay in placement are one function.
- The avoiders of a server were counted and their domains counted apart, the second relying on what the first had removed; one pass does both.
- directory kept a count of removed entries in four places; it is taken where it is needed.
- chooseSource tested again what its case before and answeredSince imply.
- membership looked each member up a second time on the path of slots.
- explain takes the message and the result of a line from those who write them.

--- a/decision/configuration/definitions.go
+++ b/decision/configuration/definitions.go
@@ -14,10 +14,12 @@
 	maxPriority       = 1000
 	maxAttempts       = 10
 	maxCount          = 1_000_000
-	// minListAge leaves time for several questions between hosts.
-	minListAge = 500 * time.Millisecond
 )
 
+// MinListAge is the shortest list_age. It leaves time for several questions
+// between hosts.
+const MinListAge = 500 * time.Millisecond
+
 var rootDefinitions = []definition[Snapshot]{
 	{Setting{Name: "domains", Kind: KindRoot, Required: true, List: true,
 		Expected: "the names of the failure domains, each once"},
@@ -28,7 +30,7 @@
 	{Setting{Name: "list_age", Kind: KindRoot,
 		Expected: "how old the list of hosts and servers may be before a host follows it itself, " +
 			"a duration from 500ms to 10m; unset: each host always does"},
-		func(s *Snapshot, v string) bool { return parseDuration(&s.ListAge, v, minListAge, maxTimeout) }},
+		func(s *Snapshot, v string) bool { return parseDuration(&s.ListAge, v, MinListAge, maxTimeout) }},
 	{Setting{Name: "withdrawal", Kind: KindRoot,
 		Expected: "how soon a withdrawn key stops on every host, a duration from 1s to 10m; " +
 			"unset: valid keys work while the store is down for all"},
--- a/decision/confirmation.go
+++ b/decision/confirmation.go
@@ -37,6 +37,14 @@
 	c.isConfirmed = true
 }
 
+// hearConfirmation takes a proof of another host with the age that it told. The
+// age counts from when this host asked, so that a late answer counts as old.
+func (s *State) hearConfirmation(version uint64, age time.Duration, askedAt model.Instant) {
+	if age >= 0 {
+		s.confirmVersion(version, askedAt.Add(-age))
+	}
+}
+
 // versionProof is a proof for a version that is not in force yet.
 type versionProof struct {
 	version uint64
--- a/decision/directory/directory.go
+++ b/decision/directory/directory.go
@@ -20,8 +20,7 @@
 // part is the entries of one role.
 type part struct {
 	items    map[string]model.ListItem // by name, removed ones included
-	removed  int
-	revision uint64 // up to which all changes are known; 0: none
+	revision uint64                    // up to which all changes are known; 0: none
 	// changesFrom is the revision after which all changes are remembered.
 	changesFrom uint64
 }
@@ -81,12 +80,8 @@
 	if ok && known.Revision >= item.Revision {
 		return false
 	}
-	if ok && known.IsRemoved {
-		p.removed--
-	}
 	if item.IsRemoved {
 		item.Entry = model.HostEntry{}
-		p.removed++
 	}
 	p.items[item.Name] = item
 	isSame := ok && known.IsRemoved == item.IsRemoved && known.Entry == item.Entry
@@ -103,7 +98,6 @@
 	for name, known := range p.items {
 		if !named[name] && !known.IsRemoved && known.Revision <= c.Revision {
 			p.items[name] = model.ListItem{Name: name, Revision: c.Revision, IsRemoved: true}
-			p.removed++
 			changed = true
 		}
 	}
@@ -115,26 +109,20 @@
 
 // forget drops the older half of the removed entries where there are too many.
 func (p *part) forget() {
-	if p.removed <= maxRemoved {
-		return
-	}
 	var revisions []uint64
 	for _, item := range p.items {
 		if item.IsRemoved {
 			revisions = append(revisions, item.Revision)
 		}
 	}
+	if len(revisions) <= maxRemoved {
+		return
+	}
 	slices.Sort(revisions)
 	p.changesFrom = revisions[len(revisions)/2]
 	maps.DeleteFunc(p.items, func(_ string, item model.ListItem) bool {
 		return item.IsRemoved && item.Revision <= p.changesFrom
 	})
-	p.removed = 0
-	for _, item := range p.items {
-		if item.IsRemoved {
-			p.removed++
-		}
-	}
 }
 
 // Since returns the changes of a part after a revision, or the whole part where
--- a/decision/health/avoided.go
+++ b/decision/health/avoided.go
@@ -40,47 +40,39 @@
 	s.avoiders[host] = avoider{domain: domain, until: now.Add(avoidFor)}
 }
 
-// hosts returns how many hosts avoid the server now.
-func (a avoiders) hosts(now model.Instant) int {
-	n := 0
+// count returns how many hosts avoid the server now, and in how many failure
+// domains they are. It forgets those that no longer do.
+func (a avoiders) count(now model.Instant) (hosts, domains int) {
+	seen := make(map[int]bool)
 	for host, avoider := range a {
 		if now >= avoider.until {
 			delete(a, host)
 			continue
 		}
-		n++
-	}
-	return n
-}
-
-// domains returns in how many failure domains there are hosts that avoid the
-// server.
-func (a avoiders) domains() int {
-	domains := make(map[int]bool)
-	for _, avoider := range a {
-		domains[avoider.domain] = true
+		hosts++
+		seen[avoider.domain] = true
 	}
-	return len(domains)
+	return hosts, len(seen)
 }
 
 // judgeAvoided judges a server by the hosts that avoid it. Hosts of a single
 // domain may share a faulty path.
 func (c *Coordinator) judgeAvoided(now model.Instant, s *suspect, f flow) verdict {
-	if !c.isAvoided(now, s, f) || c.countAvoided(now, f) > avoidedServers*float64(f.servers) {
+	if !c.isAvoided(now, s, f) || float64(c.countAvoided(now, f)) > avoidedServers*float64(f.servers) {
 		return verdict{}
 	}
 	return verdict{isBad: true, ratio: sum(s.counts(now, buckets)).badRatio()}
 }
 
 func (c *Coordinator) isAvoided(now model.Instant, s *suspect, f flow) bool {
-	hosts := s.avoiders.hosts(now)
-	isSpread := f.domains <= 1 || s.avoiders.domains() > 1
+	hosts, domains := s.avoiders.count(now)
+	isSpread := f.domains <= 1 || domains > 1
 	return isSpread && hosts >= avoidedHosts && float64(hosts) > avoidedShare*float64(len(c.reporters))
 }
 
 // countAvoided returns how many servers in use are avoided.
-func (c *Coordinator) countAvoided(now model.Instant, f flow) float64 {
-	n := 0.0
+func (c *Coordinator) countAvoided(now model.Instant, f flow) int {
+	n := 0
 	for _, s := range c.suspects {
 		if s.phase == inUse && c.isAvoided(now, s, f) {
 			n++
--- a/decision/health/suspect.go
+++ b/decision/health/suspect.go
@@ -105,7 +105,7 @@
 // isForgotten reports whether nothing about the server matters any more.
 func (s *suspect) isForgotten(now model.Instant) bool {
 	isRecent := now < s.lastBad.Add(buckets*bucketTime+ReportInterval)
-	isAvoided := s.avoiders.hosts(now) > 0
+	avoiders, _ := s.avoiders.count(now)
 	isRepeater := s.offences > 0 && now < s.readmitted.Add(offenceMemory)
-	return s.phase == inUse && !isRecent && !isAvoided && !isRepeater && now >= s.immuneUntil
+	return s.phase == inUse && !isRecent && avoiders == 0 && !isRepeater && now >= s.immuneUntil
 }
--- a/decision/hostlist.go
+++ b/decision/hostlist.go
@@ -98,13 +98,12 @@
 // chooseSource decides whether this host follows the list in the store.
 func (s *State) chooseSource() {
 	d := &s.directory
-	isAnswered := s.isListFresh() && d.ask.failures == 0
 	switch {
 	case s.ownsSlot0():
 		s.followList(storeForOthers, "owner of the watch")
 	case !s.isListFresh():
 		s.followList(storeAlone, fmt.Sprintf("no host that follows it has answered for %v", s.now.Sub(d.freshAt).Round(listTick)))
-	case isAnswered && d.answeredSince != model.Never && s.now.Sub(d.answeredSince) >= s.listAge()/listHysteresis:
+	case d.answeredSince != model.Never && s.now.Sub(d.answeredSince) >= s.listAge()/listHysteresis:
 		s.followList(peers, "they answer")
 	}
 }
@@ -291,8 +290,8 @@
 	if isResumed {
 		d.resumedAt, d.hasResumed = s.now.Add(-m.ResumedAge), true
 	}
-	if m.Confirmed && m.ConfigAge >= 0 {
-		s.confirmVersion(m.Version, d.ask.at.Add(-m.ConfigAge))
+	if m.Confirmed {
+		s.hearConfirmation(m.Version, m.ConfigAge, d.ask.at)
 	}
 	s.configHeard(from, m.Version)
 	s.freshList(d.ask.at.Add(-m.Age))
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -46,8 +46,8 @@
 
 func (s *State) onHeartbeat(from model.HostRef, m message.Heartbeat) {
 	s.latchSlots()
-	if sentAfter, ok := s.limits.members.AskedAt(s.now, m.Echo); ok && m.Confirmed && m.ConfigAge >= 0 {
-		s.confirmVersion(m.Version, sentAfter.Add(-m.ConfigAge))
+	if askedAt, ok := s.limits.members.AskedAt(s.now, m.Echo); ok && m.Confirmed {
+		s.hearConfirmation(m.Version, m.ConfigAge, askedAt)
 	}
 	s.limits.members.Heard(s.now, from, m)
 	s.limits.slots.Heard(s.now, m)
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -162,7 +162,7 @@
 	ages := make([]message.HostAge, 0, len(s.order))
 	for _, id := range s.order {
 		h := s.hosts[id]
-		if h.known && h.at.Add(Window) > now {
+		if h.isHeard(now) {
 			ages = append(ages, message.HostAge{Host: h.ref, Age: now.Sub(h.at), Young: h.young})
 		}
 	}
@@ -261,15 +261,17 @@
 // IsHeard reports whether a listed host was heard within Window.
 func (s *State) IsHeard(now model.Instant, id model.HostID) bool {
 	h, ok := s.hosts[id]
-	return ok && h.known && h.at.Add(Window) > now
+	return ok && h.isHeard(now)
 }
 
+func (h *host) isHeard(now model.Instant) bool { return h.known && h.at.Add(Window) > now }
+
 func (s *State) member(now model.Instant, id model.HostID) Member {
 	h := s.hosts[id]
 	m := Member{
 		Ref:     h.ref,
 		Domain:  h.entry.Domain,
-		Heard:   s.IsHeard(now, id),
+		Heard:   h.isHeard(now),
 		Staying: !h.entry.Leaving && !h.stopping,
 	}
 	if h.known {
--- a/decision/placement/shortage.go
+++ b/decision/placement/shortage.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"pollensail.dev/decision/model"
@@ -35,7 +34,7 @@
 }
 
 func (s *shortage) count(now model.Instant, isServed bool) {
-	keep := math.Exp(-now.Sub(s.at).Seconds() / shortageMemory.Seconds())
+	keep := decay(now.Sub(s.at), shortageMemory)
 	s.at = now
 	s.asked = s.asked*keep + 1
 	s.unserved *= keep
@@ -47,7 +46,7 @@
 // isShort reports whether the service is short of servers, as far as this host
 // has seen of late.
 func (s *shortage) isShort(now model.Instant) bool {
-	keep := math.Exp(-now.Sub(s.at).Seconds() / shortageMemory.Seconds())
+	keep := decay(now.Sub(s.at), shortageMemory)
 	return s.unserved*keep >= shortageShare*s.asked*keep+shortageMargin
 }
 
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -53,8 +53,12 @@
 	if s.above == 0 {
 		return usualOdds
 	}
-	age := max(0, now.Sub(s.at))
-	return usualOdds + s.above*math.Exp(-age.Seconds()/suspicionTime.Seconds())
+	return usualOdds + s.above*decay(max(0, now.Sub(s.at)), suspicionTime)
+}
+
+// decay returns what is left of 1 after a time, with a time constant.
+func decay(age, constant time.Duration) float64 {
+	return math.Exp(-age.Seconds() / constant.Seconds())
 }
 
 // add adds the weight of a sign.
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -40,7 +40,7 @@
 	case event.PeerReceived:
 		s.onPeerReceived(b.From, b.Message)
 	case event.HostsListed:
-		s.onHostsListed(b)
+		s.takeHostList(b.Entries)
 	case event.ListFollowed:
 		s.onListFollowed(b)
 	case event.SlotRead:
@@ -109,8 +109,6 @@
 	}
 }
 
-func (s *State) onHostsListed(e event.HostsListed) { s.takeHostList(e.Entries) }
-
 // takeHostList takes a whole list of hosts and backend servers.
 func (s *State) takeHostList(entries []model.HostEntry) {
 	s.emit(effect.SetHosts{Entries: entries})
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -33,9 +33,7 @@
 	// members are all servers of each service, leaving ones included, in this
 	// host's rendezvous order.
 	members map[model.ServiceID][]model.ServerID
-	// peers are the other listed entry hosts; users counts the entry hosts
-	// that are not leaving.
-	peers []model.HostID
+	// users counts the entry hosts that are not leaving.
 	users int
 	// serving are the pools whose queue is being served, so that a request
 	// that ends while it is advanced does not start over.
@@ -122,7 +120,6 @@
 	s.servers.list = slices.Clone(entries)
 	clear(s.servers.listed)
 	clear(s.servers.domains)
-	s.servers.peers = s.servers.peers[:0]
 	s.servers.users = 0
 	for _, e := range entries {
 		switch e.Role {
@@ -131,7 +128,9 @@
 			s.servers.listed[e.Service] = append(s.servers.listed[e.Service], id)
 			s.servers.domains[id] = e.Domain
 		case model.RoleEntry:
-			s.listEntryHost(e)
+			if !e.Leaving {
+				s.servers.users++
+			}
 		}
 	}
 	s.servers.signs.SetHosts(s.self.ID, s.domain, entries)
@@ -141,15 +140,6 @@
 	s.rebuildPools()
 }
 
-func (s *State) listEntryHost(e model.HostEntry) {
-	if id := model.HostID(e.ID); id != s.self.ID {
-		s.servers.peers = append(s.servers.peers, id)
-	}
-	if !e.Leaving {
-		s.servers.users++
-	}
-}
-
 // serversConfigured takes the services of a new configuration in force.
 func (s *State) serversConfigured() {
 	if s.snapshot == nil {
--- a/decision/servers_eject.go
+++ b/decision/servers_eject.go
@@ -93,7 +93,7 @@
 	}
 	set.Service = id
 	set.Slot, _ = s.healthSlot(id)
-	for _, peer := range s.servers.peers {
+	for _, peer := range s.config.peers {
 		s.send(peer, set)
 	}
 	s.onEjectionSet(s.self, set)
--- a/host/explain/explain.go
+++ b/host/explain/explain.go
@@ -8,6 +8,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"pollensail.dev/decision/model"
+	"pollensail.dev/host/telemetry"
 )
 
 const (
@@ -44,10 +47,7 @@
 	Detail  string    `json:"detail"`
 }
 
-// requestMessage is the message of the line that each request has.
-const requestMessage = "request"
-
-func (f fields) isRequest() bool { return f.Message == requestMessage }
+func (f fields) isRequest() bool { return f.Message == telemetry.RequestMessage }
 
 // Logs are lines of some hosts. The zero value is empty.
 type Logs struct{ lines []Line }
@@ -97,7 +97,7 @@
 		case f.Request == id || f.Time.Before(from) || f.Time.After(to):
 		case !f.isRequest():
 			r.Changes = append(r.Changes, line)
-		case f.Result != "delivered" && slices.ContainsFunc(f.servers(), func(s string) bool { return servers[s] }):
+		case f.Result != string(model.Delivered) && slices.ContainsFunc(f.servers(), func(s string) bool { return servers[s] }):
 			r.Servers = append(r.Servers, line)
 		}
 	}
--- a/host/telemetry/observer.go
+++ b/host/telemetry/observer.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// RequestMessage is the message of the log line that each request has.
+const RequestMessage = "request"
+
 func (o *Observer) record(r model.Outcome) {
 	latency := time.Duration(r.Latency)
 	o.metrics.record(r, latency)
@@ -65,7 +68,7 @@
 		Int64("config_age_ms", ageMilliseconds(r.ConfigAge)).
 		Strs("tried", serverNames(r.Tried)).
 		Float64("latency_ms", float64(latency.Microseconds())/1000).
-		Msg("request")
+		Msg(RequestMessage)
 }
 
 func (o *Observer) notice(n effect.Notice) {
