--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -126,6 +126,8 @@
 	NoticeReadmitted     NoticeKind = "server_readmitted"
 	NoticeAtFloor        NoticeKind = "service_at_floor"
 	NoticeLeaving        NoticeKind = "server_leaving"
+	NoticeShort          NoticeKind = "service_short"
+	NoticeNotShort       NoticeKind = "service_not_short"
 	NoticeVersion        NoticeKind = "configuration_in_force"
 	NoticeList           NoticeKind = "host_list_source"
 	NoticeBadMessage     NoticeKind = "bad_peer_message"
--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -71,4 +71,9 @@
 	// SuccessProbability is the estimated probability, when Server was chosen,
 	// that it was healthy.
 	SuccessProbability float64
+	// IsProbe says that Server was chosen although it was suspected, to find out
+	// whether it has recovered. ServiceShort says that this host then held the
+	// service to be short of servers.
+	IsProbe      bool
+	ServiceShort bool
 }
--- a/decision/placement/gray_test.go
+++ b/decision/placement/gray_test.go
@@ -17,23 +17,32 @@
 // after signalDelay, and each request may run only once.
 type graySimulation struct {
 	scheduler
+	grayOptions
 	rnd     *rand.Rand
 	pools   []*Pool
 	ids     []model.ServerID
 	isBad   map[model.ServerID]bool
 	lastBad map[model.ServerID]model.Instant
 	// lastRequest is when each server last got a request.
-	lastRequest  map[model.ServerID]model.Instant
-	refusedShare float64 // share of the requests that are refused for other reasons
-	sent         int
-	lost         int
-	episodes     int
+	lastRequest map[model.ServerID]model.Instant
+	sent        int
+	lost        int
+	episodes    int
 }
 
+// grayOptions are the size and load of a graySimulation.
+type grayOptions struct {
+	hosts             int
+	servers           int
+	requestsPerSecond float64 // of all hosts
+	refusedShare      float64 // share of the requests that are refused for other reasons
+}
+
+// smallGrayFleet is a fleet in which a server gets about four requests a second
+// and a host sends a server one in ten seconds.
+var smallGrayFleet = grayOptions{hosts: 40, servers: 18, requestsPerSecond: 70}
+
 const (
-	grayHosts              = 40
-	grayServers            = 18
-	grayRequestsPerSecond  = 70.0 // of all hosts
 	grayPeriod             = 12 * time.Second
 	grayBadProbability     = 0.3
 	grayFailureProbability = 0.75
@@ -41,27 +50,28 @@
 	signalDelay            = 8 * time.Millisecond
 )
 
-func newGraySimulation(seed uint64) *graySimulation {
+func newGraySimulation(seed uint64, options grayOptions) *graySimulation {
 	g := &graySimulation{
+		grayOptions: options,
 		rnd:         rand.New(rand.NewPCG(seed, 5)),
 		isBad:       make(map[model.ServerID]bool),
 		lastBad:     make(map[model.ServerID]model.Instant),
 		lastRequest: make(map[model.ServerID]model.Instant),
 	}
 	var members []Member
-	for i := range grayServers {
+	for i := range g.servers {
 		id := model.ServerID(fmt.Sprintf("s%d", i))
 		g.ids = append(g.ids, id)
 		members = append(members, Member{ID: id, ColdSince: model.Never})
 		g.lastBad[id] = -1 << 62
 		g.after(time.Duration(g.rnd.Int64N(int64(grayPeriod))), func() { g.startPeriod(id) })
 	}
-	for range grayHosts {
+	for range g.hosts {
 		p := NewPool()
 		p.Configure(0, Limits{Slots: 3, Concurrency: 256, Queue: 64}, members)
 		g.pools = append(g.pools, p)
 	}
-	g.poisson(g.rnd, grayRequestsPerSecond, g.request)
+	g.poisson(g.rnd, g.requestsPerSecond, g.request)
 	return g
 }
 
@@ -76,7 +86,7 @@
 }
 
 func (g *graySimulation) request() {
-	host := g.rnd.IntN(grayHosts)
+	host := g.rnd.IntN(g.hosts)
 	pool := g.pools[host]
 	if g.rnd.Float64() < g.refusedShare {
 		pool.CountCompletion(g.now, false, 1)
@@ -123,7 +133,7 @@
 func TestGrayServersLoseFew(t *testing.T) {
 	lost, episodes := 0, 0
 	for seed := range uint64(5) {
-		g := newGraySimulation(seed)
+		g := newGraySimulation(seed, smallGrayFleet)
 		g.run(20 * time.Second)
 		g.lost, g.episodes = 0, 0
 		g.run(200 * time.Second)
@@ -136,34 +146,57 @@
 }
 
 // TestShortServiceUsesRecovered guards against recovered servers that get no
-// requests while the service refuses some. A server counts as recovered two
-// seconds after its last failure. Of the servers that were recovered throughout
-// a window of two seconds, seven in ten have to get a request, in 99 of 100
-// windows. Only half of the servers are checked.
+// requests while the service refuses some, whatever part of the traffic one
+// host sees. A server counts as recovered two seconds after its last failure.
+// Of the servers that were recovered throughout a window of two seconds, seven
+// in ten have to get a request, in 99 of 100 windows. Only half of the servers
+// are checked.
 func TestShortServiceUsesRecovered(t *testing.T) {
+	tests := []struct {
+		name  string
+		fleet grayOptions
+	}{
+		{"small fleet", grayOptions{hosts: 40, servers: 18, requestsPerSecond: 70, refusedShare: 0.3}},
+		{"few hosts", grayOptions{hosts: 12, servers: 25, requestsPerSecond: 100, refusedShare: 0.2}},
+		{"many hosts", grayOptions{hosts: 116, servers: 25, requestsPerSecond: 100, refusedShare: 0.2}},
+		{"many servers", grayOptions{hosts: 116, servers: 233, requestsPerSecond: 775, refusedShare: 0.2}},
+		{"hosts of the target size", grayOptions{hosts: 650, servers: 55, requestsPerSecond: 300, refusedShare: 0.2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			starved, windows := 0, 0
+			for seed := range uint64(3) {
+				g := newGraySimulation(seed, test.fleet)
+				s, w := g.countStarvedWindows(100 * time.Second)
+				starved += s
+				windows += w
+			}
+			t.Logf("too few recovered servers used in %d of %d windows", starved, windows)
+			qt.Check(t, float64(starved) <= 0.01*float64(windows), qt.IsTrue)
+		})
+	}
+}
+
+// countStarvedWindows runs the simulation and returns in how many windows too
+// few of the recovered servers got a request, and the number of windows.
+func (g *graySimulation) countStarvedWindows(until time.Duration) (starved, windows int) {
 	const floor, window = 0.7, 2 * time.Second
-	starved, windows := 0, 0
-	for seed := range uint64(5) {
-		g := newGraySimulation(seed)
-		g.refusedShare = 0.3
-		for at := 20 * time.Second; at < 200*time.Second; at += 500 * time.Millisecond {
-			g.run(at)
-			recovered, used := 0, 0
-			for _, id := range g.ids[:grayServers/2] {
-				if g.now.Sub(g.lastBad[id]) < 2*window {
-					continue
-				}
-				recovered++
-				if g.now.Sub(g.lastRequest[id]) < window {
-					used++
-				}
+	for at := 20 * time.Second; at < until; at += 500 * time.Millisecond {
+		g.run(at)
+		recovered, used := 0, 0
+		for _, id := range g.ids[:g.servers/2] {
+			if g.now.Sub(g.lastBad[id]) < 2*window {
+				continue
 			}
-			windows++
-			if float64(used) < floor*float64(recovered) {
-				starved++
+			recovered++
+			if g.now.Sub(g.lastRequest[id]) < window {
+				used++
 			}
 		}
+		windows++
+		if float64(used) < floor*float64(recovered) {
+			starved++
+		}
 	}
-	t.Logf("too few recovered servers used in %d of %d windows", starved, windows)
-	qt.Check(t, float64(starved) <= 0.01*float64(windows), qt.IsTrue)
+	return starved, windows
 }
--- a/decision/placement/shortage.go
+++ b/decision/placement/shortage.go
@@ -48,13 +48,22 @@
 	}
 }
 
+// counts returns the recent requests and how many of them were unserved.
+func (s *shortage) counts(now model.Instant) (requests, unserved float64) {
+	remaining := decayFactor(now.Sub(s.updatedAt), shortageDecayTime)
+	return s.requests * remaining, s.unserved * remaining
+}
+
 // isShort reports whether this host's recent requests show that the service is
 // short of servers.
 func (s *shortage) isShort(now model.Instant) bool {
-	remaining := decayFactor(now.Sub(s.updatedAt), shortageDecayTime)
-	return s.unserved*remaining >= unservedRatio*s.requests*remaining+unservedMargin
+	requests, unserved := s.counts(now)
+	return unserved >= unservedRatio*requests+unservedMargin
 }
 
+// IsShort reports whether this host holds the service to be short of servers.
+func (p *Pool) IsShort(now model.Instant) bool { return p.shortage.isShort(now) }
+
 // CountCompletion counts a request for the service that has completed, also one
 // that was refused before it reached a server. successProbability is that of
 // the server when it was chosen. A failure at a server below suspicionThreshold
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -110,6 +110,18 @@
 	suspicionThreshold = 0.9
 )
 
+// isSuspected reports whether the server counts as failing, whatever the state
+// of the path to it.
+func (s *server) isSuspected(now model.Instant) bool {
+	return s.serverBelief.soundProbability(now) < suspicionThreshold
+}
+
+// isPathSuspected reports whether this host's path to the server counts as
+// failing.
+func (s *server) isPathSuspected(now model.Instant) bool {
+	return s.pathBelief.soundProbability(now) < suspicionThreshold
+}
+
 // Observe updates the beliefs about a server and the path to it with the signal
 // (model.HealthSignal) from an attempt of this host. It reports whether other
 // hosts should get the signal.
@@ -118,7 +130,8 @@
 	if !ok || signal == model.SignalNone {
 		return false
 	}
-	wasSuspected := s.serverBelief.soundProbability(now) < suspicionThreshold
+	wasSuspected := s.isSuspected(now)
+	s.hasOwnSignal = signal != model.SignalSuccess || s.hasOwnSignal && wasSuspected
 	s.serverBelief.update(now, serverLogRatios[signal])
 	s.pathBelief.update(now, pathLogRatios[signal])
 	return signal.IsShared() && (signal != model.SignalSuccess || wasSuspected)
@@ -138,6 +151,7 @@
 // attempt of another host.
 func (p *Pool) ObserveRemote(now model.Instant, id model.ServerID, signal model.HealthSignal) {
 	if s, ok := p.byID[id]; ok && signal.IsShared() {
+		s.hasOwnSignal = s.hasOwnSignal && s.isSuspected(now)
 		s.serverBelief.update(now, serverLogRatios[signal])
 	}
 }
--- a/decision/request.go
+++ b/decision/request.go
@@ -397,6 +397,7 @@
 func (s *State) recordOutcome(r *request) {
 	if pool := s.pool(r.service); pool != nil {
 		pool.CountCompletion(s.now, !r.isServiceFailure(), r.finalSuccessProbability())
+		s.noteShortage(r.service, pool)
 	}
 	outcome := model.Outcome{
 		Request:  r.Request,
@@ -411,6 +412,8 @@
 
 		ConfigAge:          model.Instant(s.confirmationAge()),
 		SuccessProbability: r.successProbability,
+		IsProbe:            r.isProbe,
+		ServiceShort:       r.wasShort,
 		Tried:              r.triedServers,
 	}
 	if s.snapshot != nil {
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -46,7 +46,9 @@
 	monitors        map[model.ServiceID]*health.Monitor
 	evidenceTimerAt model.Instant // when the evidence timer fires
 	coordinators    map[model.ServiceID]*health.Coordinator
-	publishedSets   *health.EjectionSets
+	// shortServices are the services that a notice reported as short of servers.
+	shortServices map[model.ServiceID]bool
+	publishedSets *health.EjectionSets
 	// appliedEjections are the published sets, limited by the floor (the share of
 	// a service's servers that stays in use) as this host sees it.
 	appliedEjections map[model.ServiceID]ejections
@@ -77,6 +79,7 @@
 		monitors:         make(map[model.ServiceID]*health.Monitor),
 		evidenceTimerAt:  model.Never,
 		coordinators:     make(map[model.ServiceID]*health.Coordinator),
+		shortServices:    make(map[model.ServiceID]bool),
 		publishedSets:    health.NewEjectionSets(),
 		appliedEjections: make(map[model.ServiceID]ejections),
 	}
@@ -232,6 +235,7 @@
 	delete(s.servers.rankedServers, id)
 	delete(s.servers.appliedEjections, id)
 	delete(s.servers.monitors, id)
+	delete(s.servers.shortServices, id)
 	delete(s.servers.coordinators, id)
 	if pool.InFlight() == 0 {
 		delete(s.servers.pools, id)
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -19,6 +19,8 @@
 	isDequeued         bool // has just been removed from the queue
 	placedAt           model.Instant
 	successProbability float64 // of the server, estimated when it was chosen
+	isProbe            bool    // server was suspected when it was chosen
+	wasShort           bool    // the service was short of servers when server was chosen
 	unsentAttempts     int     // attempts of which no byte was written
 	// streamedResult is the result of an attempt whose answer is still streaming.
 	streamedResult *model.AttemptResult
@@ -46,6 +48,8 @@
 	r.server = server
 	r.isPlaced = true
 	r.successProbability = pool.SuccessProbability(s.now, server)
+	r.isProbe = pool.Suspicion(s.now, server) != placement.NotSuspected
+	r.wasShort = pool.IsShort(s.now)
 	r.placedAt = s.now
 	return stepNext
 }
--- a/decision/servers_status.go
+++ b/decision/servers_status.go
@@ -7,6 +7,7 @@
 	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/decision/placement"
 )
 
 // addServersStatus adds the servers that are not in normal use to the status.
@@ -44,7 +45,41 @@
 	case s.isAvoided(service.ID, id):
 		return "avoided by this host"
 	}
-	return ""
+	return s.suspicionCondition(service.ID, id)
+}
+
+// suspicionCondition returns why this host's estimate keeps a server from
+// normal use, empty for nothing.
+func (s *State) suspicionCondition(service model.ServiceID, id model.ServerID) string {
+	pool := s.servers.pools[service]
+	if pool == nil {
+		return ""
+	}
+	switch pool.Suspicion(s.now, id) {
+	case placement.ServerSuspected:
+		return "suspected"
+	case placement.RemoteSuspected:
+		return "suspected by other hosts"
+	case placement.PathSuspected:
+		return "path suspected"
+	default:
+		return ""
+	}
+}
+
+// noteShortage reports when a service begins or ends to be short of servers at
+// this host, with what keeps servers from ordinary use.
+func (s *State) noteShortage(id model.ServiceID, pool *placement.Pool) {
+	isShort := pool.IsShort(s.now)
+	if isShort == s.servers.shortServices[id] {
+		return
+	}
+	s.servers.shortServices[id] = isShort
+	kind := effect.NoticeNotShort
+	if isShort {
+		kind = effect.NoticeShort
+	}
+	s.emitNotice(kind, string(id)+": "+pool.Usage(s.now).String())
 }
 
 func (s *State) isAvoided(service model.ServiceID, id model.ServerID) bool {
--- a/host/cmd/pollenctl/explain.go
+++ b/host/cmd/pollenctl/explain.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -13,19 +17,33 @@
 const maxLinesPerSection = 40
 
 func (c *cli) explainCommand() *cobra.Command {
-	return &cobra.Command{
+	var service string
+	command := &cobra.Command{
 		Use:   "explain ID [LOG...]",
 		Short: "Show the log lines of all hosts that relate to a request",
 		Long: `Reads logs of entry hosts, from files or from standard input, and prints three
 sections: the lines of the request with this id; the state changes on any host
 within three seconds of it, each with the number of lines that report it; and
 other failed requests at the servers that the request was sent to. A few
-minutes of logs are enough. docs/OPERATIONS.md, section 9, explains how to read
+minutes of logs are enough. With --service it prints a table instead: for every
+two seconds the service's requests, the unserved ones by reason, the servers
+used of those that the logs name, the requests at suspected servers, the hosts
+that held the service to be short of servers, and how the last request at each
+unused server ended. docs/OPERATIONS.md, section 9, explains how to read
 them.`,
 		Example: `  pollenctl explain 1cd29edff6d20f9c n1.log n2.log
-  cat *.log | pollenctl explain 1cd29edff6d20f9c`,
-		Args: cobra.MinimumNArgs(1),
+  cat *.log | pollenctl explain 1cd29edff6d20f9c
+  pollenctl explain --service ringbook n1.log n2.log`,
+		Args: func(cmd *cobra.Command, args []string) error {
+			if service != "" {
+				return nil
+			}
+			return cobra.MinimumNArgs(1)(cmd, args)
+		},
 		RunE: func(_ *cobra.Command, args []string) error {
+			if service != "" {
+				return c.explainService(service, args)
+			}
 			logs, err := c.readLogs(args[1:])
 			if err != nil {
 				return err
@@ -40,6 +58,48 @@
 			return nil
 		},
 	}
+	command.Flags().StringVar(&service, "service", "", "summarize this service every two seconds instead of explaining a request")
+	return command
+}
+
+// explainService prints what the logs say of a service in each period.
+func (c *cli) explainService(service string, paths []string) error {
+	logs, err := c.readLogs(paths)
+	if err != nil {
+		return err
+	}
+	periods := logs.Service(service)
+	if len(periods) == 0 {
+		return fmt.Errorf("%s: %w", service, explain.ErrNotFound)
+	}
+	c.printf("%-12s %8s %8s %9s %7s %11s  %s\n", "FROM", "REQUESTS", "UNSERVED", "SERVERS", "PROBES", "SHORT HOSTS", "UNSERVED BY REASON; UNUSED SERVERS BY LAST RESULT")
+	for _, p := range periods {
+		c.printf("%-12s %8d %8d %9s %7d %11s  %s; %s\n", p.Start.Format("15:04:05.000"), p.Requests, p.Unserved,
+			fmt.Sprintf("%d/%d", p.ServersUsed, p.ServersKnown), p.Probes, fmt.Sprintf("%d/%d", p.ShortHosts, p.Hosts),
+			formatCounts(p.Reasons), formatCounts(countLastResults(p.Unused)))
+	}
+	return nil
+}
+
+// countLastResults counts servers by how their last request ended.
+func countLastResults(servers []explain.UnusedServer) map[string]int {
+	counts := make(map[string]int)
+	for _, s := range servers {
+		counts[cmp.Or(s.LastReason, s.LastResult, "never used")]++
+	}
+	return counts
+}
+
+// formatCounts formats counts as "name count", the largest first.
+func formatCounts(counts map[string]int) string {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(counts[b]-counts[a], strings.Compare(a, b))
+	})
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = fmt.Sprintf("%s %d", name, counts[name])
+	}
+	return strings.Join(parts, ", ")
 }
 
 // readLogs reads the given files, or standard input if there are none.
--- a/host/cmd/pollenctl/tool_test.go
+++ b/host/cmd/pollenctl/tool_test.go
@@ -245,7 +245,8 @@
 	out := f.mustSucceed("explain", "abc", log)
 	f.c.Check(out, qt.Contains, "request: 1 lines")
 	f.c.Check(out, qt.Contains, `"request":"abc"`)
-	f.mustFail(exitFailure, "xyz: no line of the logs has this request.*", "explain", "xyz", log)
+	f.mustFail(exitFailure, "xyz: no line of the logs has this request or service.*", "explain", "xyz", log)
+	f.mustFail(exitFailure, "filing: no line of the logs has this request or service.*", "explain", "--service", "filing", log)
 	code, _, _ := f.run("explain", "abc", "missing.log")
 	f.c.Check(code, qt.Not(qt.Equals), exitOK)
 }
--- a/host/explain/explain.go
+++ b/host/explain/explain.go
@@ -21,8 +21,8 @@
 	maxLineBytes = 1 << 20
 )
 
-// ErrNotFound reports that no log line has the request id.
-var ErrNotFound = errors.New("no line of the logs has this request")
+// ErrNotFound reports that no log line has the request id or service.
+var ErrNotFound = errors.New("no line of the logs has this request or service")
 
 // Line is one line of a host's log.
 type Line struct {
@@ -45,10 +45,26 @@
 	Latency float64   `json:"latency_ms"`
 	Kind    string    `json:"kind"`
 	Detail  string    `json:"detail"`
+
+	Service      string  `json:"service"`
+	Reason       string  `json:"reason"`
+	ServerTrust  float64 `json:"server_trust"`
+	Probe        bool    `json:"probe"`
+	ServiceShort bool    `json:"service_short"`
 }
 
 func (f lineFields) isRequestLine() bool { return f.Message == telemetry.RequestLogMessage }
 
+// host returns the part of Origin that names the host: the last word, since a
+// log collector may put a time before it.
+func (l Line) host() string {
+	words := strings.Fields(l.Origin)
+	if len(words) == 0 {
+		return ""
+	}
+	return words[len(words)-1]
+}
+
 // Logs holds the log lines of one or more hosts. The zero value is empty.
 type Logs struct{ lines []Line }
 
--- a/host/explain/explain_test.go
+++ b/host/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -33,3 +34,29 @@
 	_, err = logs.Explain("unknown")
 	c.Check(err, qt.Equals, ErrNotFound)
 }
+
+const serviceSample = `{"time":"2026-04-30T18:00:00.100Z","request":"a","service":"filing","result":"delivered","server":"s1","tried":["s1"],"server_trust":0.95,"message":"request"}
+{"time":"2026-04-30T18:00:00.500Z","request":"b","service":"filing","result":"failed","reason":"server_failed","server":"s2","tried":["s2"],"server_trust":0.3,"probe":true,"service_short":true,"message":"request"}
+{"time":"2026-04-30T18:00:02.500Z","request":"c","service":"filing","result":"refused","reason":"overloaded","message":"request"}
+{"time":"2026-04-30T18:00:02.600Z","request":"d","service":"filing","result":"delivered","server":"s1","tried":["s1"],"message":"request"}
+{"time":"2026-04-30T18:00:02.700Z","request":"e","service":"lookup","result":"delivered","server":"s3","tried":["s3"],"message":"request"}
+`
+
+// TestServicePeriods guards against a summary that hides servers without
+// requests, or counts those of another service.
+func TestServicePeriods(t *testing.T) {
+	c := qt.New(t)
+	var logs Logs
+	c.Assert(logs.Read("n1.log", strings.NewReader(serviceSample)), qt.IsNil)
+	periods := logs.Service("filing")
+	c.Assert(periods, qt.HasLen, 2)
+	first, second := periods[0], periods[1]
+	c.Check([]int{first.Requests, first.Unserved, first.ServersUsed, first.ServersKnown, first.Probes}, qt.DeepEquals, []int{2, 1, 2, 2, 1})
+	c.Check([]int{first.ShortHosts, first.Hosts}, qt.DeepEquals, []int{1, 1})
+	c.Check(first.Unused, qt.HasLen, 0)
+	c.Check(second.Reasons, qt.DeepEquals, map[string]int{"overloaded": 1})
+	c.Check(second.Unused, qt.DeepEquals, []UnusedServer{
+		{Server: "s2", LastResult: "failed", LastReason: "server_failed", LastTrust: 0.3, IdleFor: 1500 * time.Millisecond},
+	})
+	c.Check(logs.Service("unknown"), qt.HasLen, 0)
+}
--- a/host/telemetry/observer.go
+++ b/host/telemetry/observer.go
@@ -67,6 +67,8 @@
 		Str("reason", string(r.Reason)).
 		Int("attempts", r.Attempts).
 		Float64("server_trust", float64(int(r.SuccessProbability*100))/100).
+		Bool("probe", r.IsProbe).
+		Bool("service_short", r.ServiceShort).
 		Uint64("version", r.Version).
 		Int64("config_age_ms", ageMilliseconds(r.ConfigAge)).
 		Strs("tried", serverIDs(r.Tried)).
