Keep suspected servers in use: a floor, and probes by the fleet's shortage

Cause: with shared detection all hosts suspect the same servers, and a request that may run only once avoids a suspected server, by up to a factor of 10^9. Nothing kept a share of the servers in use. The probes that should bring them back began only when a host's own recent requests showed a shortage; with 116 hosts a host sees one to seven requests a second of a service, and hardly any noticed.

Change: hosts tell each other of lost requests (Sign.IsUnserved) and of other unserved ones (UnservedReport, at most twice a second for each host and 200 times over all); each compares the sum of the last second with its own rate times the number of hosts. From 5 % on, suspected servers are probed. The floor of the configuration now holds for suspicion too: if too few servers are in use, the least suspected are probed. A probe is drawn with three times an ordinary weight, and a server whose probe succeeded is due again at once. A failed attempt counts only if the request is lost with it.

Why it works: the number that decides is the fleet's, so it does not depend on how many hosts share the traffic.

--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -234,6 +234,21 @@
 	Service   model.ServiceID
 	Server    model.ServerID
 	Sign      model.HealthSignal
+	// IsUnserved reports that the caller's request was lost with the attempt, and
+	// that it was no probe of a suspected server.
+	IsUnserved bool
+}
+
+// UnservedReport broadcasts how many requests for a service Origin has lately
+// not served, apart from those of which a Sign told.
+type UnservedReport struct {
+	Origin   model.HostRef
+	Sequence uint64 // as in Sign
+	// IsRelayed asks the receiver to forward the message to the other hosts of
+	// its failure domain.
+	IsRelayed bool
+	Service   model.ServiceID
+	Requests  int
 }
 
 // EjectionSet is the complete set of ejected servers of a service: those that
@@ -398,6 +413,7 @@
 func (Evidence) message()          {}
 func (EjectionSet) message()       {}
 func (Sign) message()              {}
+func (UnservedReport) message()    {}
 func (ListAsk) message()           {}
 func (ListAnswer) message()        {}
 func (ConfigOffer) message()       {}
--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -98,14 +98,16 @@
 
 // computeWeights sets the weight of each eligible server in the random draws.
 // Cold and suspected servers get less and, for a large answer, servers in other
-// failure domains too.
+// failure domains too. A suspected server that is to be probed gets more.
 func (p *Pool) computeWeights(now model.Instant, info PickInfo) {
 	p.weights = p.weights[:0]
-	isShort := p.shortage.isShort(now)
+	isShort := p.IsShort(now)
+	p.floor.update(now, p.subset, p.limits.Floor)
+	unobservedWeight := intPower(priorSoundProbability, info.probabilityExponent())
 	for _, s := range p.eligible {
 		probabilityWeight := intPower(s.successProbability(now), info.probabilityExponent())
-		if isShort && s.isProbeDue(now) {
-			probabilityWeight = max(probabilityWeight, probeWeight)
+		if probabilityWeight < unobservedWeight && p.needsProbe(now, s, isShort) {
+			probabilityWeight = probeWeight * unobservedWeight
 		}
 		weight := s.rampFraction(now, p.limits.ColdRamp) * probabilityWeight
 		if info.IsLarge && !s.IsNear {
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -11,6 +11,8 @@
 
 // Limits bounds a host's use of one service.
 type Limits struct {
+	Hosts       int           // entry hosts that use the service
+	Floor       float64       // share of the servers, 0 to 1, that stays in use even if suspected
 	Slots       int           // requests that a server processes concurrently
 	Connections int           // requests in flight from this host to each server; 0: no limit
 	Concurrency int           // bulkhead: requests in flight from this host to the service; 0: no limit
@@ -29,6 +31,7 @@
 	queue       queue
 	retryBudget retryBudget
 	shortage    shortage
+	floor       floorRank
 	// holdTime is how long a request occupies its slot. The mean gives the rate
 	// at which slots become free; the low quantile fastHoldTime estimates the
 	// least time that a request needs.
@@ -56,6 +59,8 @@
 // their requests in flight and get no new ones.
 func (p *Pool) Configure(now model.Instant, limits Limits, subset []Member) {
 	p.limits = limits
+	p.shortage.hosts = limits.Hosts
+	p.floor.isRanked = false
 	p.retryBudget.configure(now, limits.Retries)
 	for _, s := range p.byID {
 		s.inSubset = false
--- /dev/null
+++ b/decision/placement/probe.go
@@ -0,0 +1,43 @@
+package placement
+
+import (
+	"time"
+
+	"pollensail.dev/decision/model"
+)
+
+// A probe is an ordinary request that is sent to a suspected server, to find
+// out whether it has recovered.
+const (
+	// probeDelay is the time after a failure of a server until it may be probed.
+	probeDelay = 1500 * time.Millisecond
+	// probeWeight is the weight of a server that is to be probed, as a multiple
+	// of that of a server without any observation. It gets the probe soon even
+	// if the fleet sends each server only a few requests a second.
+	probeWeight = 3
+	// reachableProbability is the probability of a sound path from which a
+	// server counts as reachable.
+	reachableProbability = 0.5
+)
+
+// isProbeDue reports whether a server may be probed , for the time since its last
+// failure. A server whose last attempt succeeded is due at once, so that
+// some more successes clear it. A server that this host cannot reach is not
+// probed.
+func (s *server) isProbeDue(now model.Instant) bool {
+	isReachable := s.pathBelief.excessLogOdds == 0 || s.pathBelief.soundProbability(now) > reachableProbability
+	return isReachable && now >= s.probeAt
+}
+
+// needsProbe reports whether a server that is suspected is to be probed.
+func (p *Pool) needsProbe(now model.Instant, s *server, isShort bool) bool {
+	return s.isProbeDue(now) && (isShort || p.floor.needs(now, s))
+}
+
+// IsProbe reports whether a request to the server is a probe: the server is
+// suspected, and gets the request because of the floor or because the service
+// is short of servers.
+func (p *Pool) IsProbe(now model.Instant, id model.ServerID) bool {
+	s, ok := p.byID[id]
+	return ok && s.isSuspected(now) && p.needsProbe(now, s, p.IsShort(now))
+}
--- a/decision/placement/server.go
+++ b/decision/placement/server.go
@@ -39,6 +39,7 @@
 	avoidUntil    model.Instant
 	serverBelief  failureBelief // whether the server is failing
 	pathBelief    failureBelief // whether this host's network path to it is failing
+	probeAt       model.Instant // when the server may be probed
 	hasOwnSignal  bool          // this host saw a failure since the server was last not suspected
 	inSubset      bool
 }
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -123,20 +123,31 @@
 }
 
 // Observe updates the beliefs about a server and the path to it with the signal
-// (model.HealthSignal) from an attempt of this host. It reports whether other
-// hosts should get the signal.
-func (p *Pool) Observe(now model.Instant, id model.ServerID, signal model.HealthSignal) bool {
+// (model.HealthSignal) from an attempt of this host. isUnserved says that the
+// caller's request was lost with the attempt, which is not the case for a probe.
+// It reports whether other hosts should get the signal.
+func (p *Pool) Observe(now model.Instant, id model.ServerID, signal model.HealthSignal, isUnserved bool) bool {
 	s, ok := p.byID[id]
 	if !ok || signal == model.SignalNone {
 		return false
 	}
 	wasSuspected := s.isSuspected(now)
 	s.hasOwnSignal = signal != model.SignalSuccess || s.hasOwnSignal && wasSuspected
-	s.serverBelief.update(now, serverLogRatios[signal])
+	p.observeServer(now, s, signal, isUnserved)
 	s.pathBelief.update(now, pathLogRatios[signal])
 	return signal.IsShared() && (signal != model.SignalSuccess || wasSuspected)
 }
 
+func (p *Pool) observeServer(now model.Instant, s *server, signal model.HealthSignal, isUnserved bool) {
+	s.serverBelief.update(now, serverLogRatios[signal])
+	if signal != model.SignalSuccess {
+		s.probeAt = now.Add(probeDelay)
+	}
+	if isUnserved {
+		p.shortage.addUnserved(now, 1)
+	}
+}
+
 // SuccessProbability returns the probability that a request to the server
 // succeeds, 1 for a server that is not in the pool.
 func (p *Pool) SuccessProbability(now model.Instant, id model.ServerID) float64 {
@@ -149,10 +160,10 @@
 
 // ObserveRemote updates the belief about a server with the signal from an
 // attempt of another host.
-func (p *Pool) ObserveRemote(now model.Instant, id model.ServerID, signal model.HealthSignal) {
+func (p *Pool) ObserveRemote(now model.Instant, id model.ServerID, signal model.HealthSignal, isUnserved bool) {
 	if s, ok := p.byID[id]; ok && signal.IsShared() {
 		s.hasOwnSignal = s.hasOwnSignal && s.isSuspected(now)
-		s.serverBelief.update(now, serverLogRatios[signal])
+		p.observeServer(now, s, signal, isUnserved)
 	}
 }
 
--- a/decision/placement/usage.go
+++ b/decision/placement/usage.go
@@ -17,15 +17,15 @@
 	RemoteOnly    int // of Suspected: by signals of other hosts only
 	PathSuspected int // this host's path to them counts as failing
 	ProbeDue      int // of Suspected: may be probed now
-	// Requests and Unserved are the recent requests that decide whether the
-	// service is short of servers.
+	// Requests and Unserved are the recent requests of all hosts, as estimated by
+	// this host, that decide whether the service is short of servers.
 	Requests float64
 	Unserved float64
 }
 
 // String returns the counts as text for a notice.
 func (u Usage) String() string {
-	return fmt.Sprintf("%.1f of %.1f recent requests unserved; %d servers, %d suspected (%d by other hosts only, %d due for a probe), %d with a suspected path, %d cold, %d in trial, %d avoided",
+	return fmt.Sprintf("%.1f of about %.0f recent requests of all hosts unserved; %d servers, %d suspected (%d by other hosts only, %d due for a probe), %d with a suspected path, %d cold, %d in trial, %d avoided",
 		u.Unserved, u.Requests, u.Servers, u.Suspected, u.RemoteOnly, u.ProbeDue, u.PathSuspected, u.Cold, u.Trial, u.Avoided)
 }
 
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -94,6 +94,8 @@
 		s.onEjectionSet(from, m)
 	case message.Sign:
 		s.onSign(m)
+	case message.UnservedReport:
+		s.onUnservedReport(m)
 	case message.ListAsk:
 		s.onListAsk(from, m)
 	case message.ListAnswer:
--- a/decision/request.go
+++ b/decision/request.go
@@ -369,36 +369,8 @@
 	return model.Delivered
 }
 
-// isServiceFailure reports whether the request failed because of its servers
-// or for lack of a server or token. A request that is not allowed, such as one
-// above its account's rate, says nothing about the service.
-func (r *request) isServiceFailure() bool {
-	if r.result == model.Delivered {
-		return false
-	}
-	switch r.reason {
-	case model.ReasonOverloaded, model.ReasonNoServer, model.ReasonServerFailed, model.ReasonBadAnswer,
-		model.ReasonTimedOut, model.ReasonTokensUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
-// finalSuccessProbability returns the success probability of the last attempt
-// as estimated when its server was chosen, 1 if there was no attempt.
-func (r *request) finalSuccessProbability() float64 {
-	if r.attempts == 0 {
-		return 1
-	}
-	return r.successProbability
-}
-
 func (s *State) recordOutcome(r *request) {
-	if pool := s.pool(r.service); pool != nil {
-		pool.CountCompletion(s.now, !r.isServiceFailure(), r.finalSuccessProbability())
-		s.noteShortage(r.service, pool)
-	}
+	s.countRequestEnd(r)
 	outcome := model.Outcome{
 		Request:  r.Request,
 		Name:     r.Name,
--- a/decision/servers.go
+++ b/decision/servers.go
@@ -46,6 +46,7 @@
 	monitors        map[model.ServiceID]*health.Monitor
 	evidenceTimerAt model.Instant // when the evidence timer fires
 	coordinators    map[model.ServiceID]*health.Coordinator
+	unservedTimerAt model.Instant // when the timer for reports of unserved requests fires
 	// shortServices are the services that a notice reported as short of servers.
 	shortServices map[model.ServiceID]bool
 	publishedSets *health.EjectionSets
@@ -78,6 +79,7 @@
 		dispatching:      make(map[model.ServiceID]bool),
 		monitors:         make(map[model.ServiceID]*health.Monitor),
 		evidenceTimerAt:  model.Never,
+		unservedTimerAt:  model.Never,
 		coordinators:     make(map[model.ServiceID]*health.Coordinator),
 		shortServices:    make(map[model.ServiceID]bool),
 		publishedSets:    health.NewEjectionSets(),
@@ -92,6 +94,7 @@
 	serversTimerCoordinator                // a coordinator has a decision or publication due
 	serversTimerEjectionSets               // an ejection set expires
 	serversTimerAbsent                     // servers that did not reappear are removed
+	serversTimerUnserved                   // a report of unserved requests is due
 )
 
 func (s *State) onServersTimer(id uint64) {
@@ -102,6 +105,8 @@
 		s.sendEvidence()
 	case serversTimerCoordinator:
 		s.runCoordinators()
+	case serversTimerUnserved:
+		s.sendUnservedReports()
 	case serversTimerAbsent:
 		s.dropAbsentServers()
 	case serversTimerEjectionSets:
@@ -211,6 +216,8 @@
 	hosts := max(s.servers.activeHosts, 1)
 	size := placement.SubsetSize(hosts, len(usable), service.Connections)
 	limits := placement.Limits{
+		Hosts:       hosts,
+		Floor:       service.Floor,
 		Slots:       service.ServerConcurrency,
 		Connections: placement.ConnectionShare(hosts, len(usable), size, service.Connections),
 		Concurrency: service.Concurrency,
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -19,7 +19,9 @@
 	isDequeued         bool // has just been removed from the queue
 	placedAt           model.Instant
 	successProbability float64 // of the server, estimated when it was chosen
-	isProbe            bool    // server was suspected when it was chosen
+	isProbe            bool    // server was chosen although it was suspected
+	isRepeatable       bool    // the request may be sent to another server if this attempt fails
+	isCountedUnserved  bool    // a signal has counted the request as unserved
 	wasShort           bool    // the service was short of servers when server was chosen
 	unsentAttempts     int     // attempts of which no byte was written
 	// streamedResult is the result of an attempt whose answer is still streaming.
@@ -38,7 +40,8 @@
 	if !wasQueued && pool.QueueLength() > 0 {
 		return s.enqueue(r, pool, r.attempts > 0)
 	}
-	server, ok := pool.Acquire(s.now, s.rand, s.pickInfo(r))
+	info := s.pickInfo(r)
+	server, ok := pool.Acquire(s.now, s.rand, info)
 	if !ok {
 		return s.enqueue(r, pool, wasQueued || r.attempts > 0)
 	}
@@ -48,7 +51,8 @@
 	r.server = server
 	r.isPlaced = true
 	r.successProbability = pool.SuccessProbability(s.now, server)
-	r.isProbe = pool.Suspicion(s.now, server) != placement.NotSuspected
+	r.isProbe = pool.IsProbe(s.now, server)
+	r.isRepeatable = info.IsRepeatable
 	r.wasShort = pool.IsShort(s.now)
 	r.placedAt = s.now
 	return stepNext
--- a/decision/servers_status.go
+++ b/decision/servers_status.go
@@ -67,21 +67,6 @@
 	}
 }
 
-// noteShortage reports when a service begins or ends to be short of servers at
-// this host, with what keeps servers from ordinary use.
-func (s *State) noteShortage(id model.ServiceID, pool *placement.Pool) {
-	isShort := pool.IsShort(s.now)
-	if isShort == s.servers.shortServices[id] {
-		return
-	}
-	s.servers.shortServices[id] = isShort
-	kind := effect.NoticeNotShort
-	if isShort {
-		kind = effect.NoticeShort
-	}
-	s.emitNotice(kind, string(id)+": "+pool.Usage(s.now).String())
-}
-
 func (s *State) isAvoided(service model.ServiceID, id model.ServerID) bool {
 	monitor, ok := s.servers.monitors[service]
 	return ok && s.now < monitor.AvoidUntil(id)
--- a/decision/servers_suspicion.go
+++ b/decision/servers_suspicion.go
@@ -15,30 +15,46 @@
 
 // recordSignal records what a request's attempt says about its server, and
 // tells other hosts if that may change their estimate, because one host alone
-// sees too few attempts at a server. The message reaches the hosts of other
-// domains through relays.
+// sees too few attempts at a server.
 func (s *State) recordSignal(r *request, pool *placement.Pool, signal model.HealthSignal) {
-	if !pool.Observe(s.now, r.server, signal) {
+	isUnserved := r.isLostBy(signal)
+	r.isCountedUnserved = r.isCountedUnserved || isUnserved
+	if !pool.Observe(s.now, r.server, signal, isUnserved) {
 		return
 	}
 	m := message.Sign{
-		Origin:   s.self,
-		Sequence: s.servers.signalBroadcast.NextSequence(),
-		Service:  r.service,
-		Server:   r.server,
-		Sign:     signal,
+		Origin:     s.self,
+		Sequence:   s.servers.signalBroadcast.NextSequence(),
+		Service:    r.service,
+		Server:     r.server,
+		Sign:       signal,
+		IsUnserved: isUnserved,
 	}
 	s.sendInDomain(m)
 	m.IsRelayed = true
+	s.sendToRelays(m)
+}
+
+// isLostBy reports whether the request fails with the attempt that gave the
+// signal, and does so at a server that was in ordinary use.
+func (r *request) isLostBy(signal model.HealthSignal) bool {
+	isFailed := signal == model.SignalBroken || signal == model.SignalError
+	isFinal := !r.isRepeatable || r.stage == stageAnswer
+	return isFailed && isFinal && !r.isProbe
+}
+
+// sendToRelays sends a message of the signal broadcast to hosts of the other
+// failure domains, which forward it there.
+func (s *State) sendToRelays(m message.Message) {
 	isAlive := func(id model.HostID) bool { return s.limits.members.IsAlive(s.now, id) }
 	for _, relay := range s.servers.signalBroadcast.Relays(s.rand, isAlive) {
 		s.send(relay, m)
 	}
 }
 
-// sendInDomain sends a health signal to the other hosts of this host's failure
-// domain.
-func (s *State) sendInDomain(m message.Sign) {
+// sendInDomain sends a message of the signal broadcast to the other hosts of
+// this host's failure domain.
+func (s *State) sendInDomain(m message.Message) {
 	for _, peer := range s.servers.signalBroadcast.DomainPeers() {
 		s.send(peer, m)
 	}
@@ -77,7 +93,7 @@
 		s.sendInDomain(m)
 	}
 	if pool := s.pool(m.Service); pool != nil {
-		pool.ObserveRemote(s.now, m.Server, m.Sign)
+		pool.ObserveRemote(s.now, m.Server, m.Sign, m.IsUnserved)
 	}
 }
 
--- a/host/cmd/pollenctl/explain.go
+++ b/host/cmd/pollenctl/explain.go
@@ -27,7 +27,7 @@
 other failed requests at the servers that the request was sent to. A few
 minutes of logs are enough. With --service it prints a table instead: for every
 two seconds the service's requests, the unserved ones by reason, the servers
-used of those that the logs name, the requests at suspected servers, the hosts
+used of those that the logs name, the probes of suspected servers, the hosts
 that held the service to be short of servers, and how the last request at each
 unused server ended. docs/OPERATIONS.md, section 9, explains how to read
 them.`,
--- a/host/explain/service.go
+++ b/host/explain/service.go
@@ -22,7 +22,7 @@
 	// ServersUsed counts the servers that got a request; ServersKnown those that
 	// any line of the logs names.
 	ServersUsed, ServersKnown int
-	Probes                    int // requests at servers that were suspected
+	Probes                    int // requests that tested suspected servers
 	// ShortHosts counts the hosts that logged a request while they held the
 	// service to be short of servers, Hosts all that logged one.
 	ShortHosts, Hosts int
--- a/host/peer/envelope.go
+++ b/host/peer/envelope.go
@@ -70,6 +70,7 @@
 	unconverted[message.Sign](),
 	unconverted[message.ListAsk](),
 	unconverted[message.ListAnswer](),
+	unconverted[message.UnservedReport](),
 }
 
 // unconverted returns the kind of a message type that is its own wire form.
