Report unserved requests 50 times a second over all hosts, not 200

At 400 refused requests a second, 200 reports a second are 23,000 messages a second in a fleet of 116.

Change: maxReportRate 50. The first unserved request is still reported at once.

Measured: TestBeginningShortageUsesRecovered and TestShortServiceUsesRecovered 0 starved windows, as before.

--- a/decision/placement/shortage.go
+++ b/decision/placement/shortage.go
@@ -37,7 +37,7 @@
 	// unserved requests to the other hosts. maxReportRate bounds the reports of
 	// all hosts for a service, per second.
 	minReportInterval = 500 * time.Millisecond
-	maxReportRate     = 200
+	maxReportRate     = 50
 )
 
 // decayingCount is a count with exponential decay.
