--- a/decision/placement/probe.go
+++ b/decision/placement/probe.go
@@ -20,16 +20,17 @@
 	reachableProbability = 0.5
 )
 
-// isProbeDue reports whether a server may be probed , for the time since its last
-// failure. A server whose last attempt succeeded is due at once, so that
-// some more successes clear it. A server that this host cannot reach is not
-// probed.
+// isProbeDue reports whether a server may be probed: its last failure is long
+// enough ago, and this host can reach it. A server whose last probe succeeded is
+// due at once, so that a few more successes clear it.
 func (s *server) isProbeDue(now model.Instant) bool {
 	isReachable := s.pathBelief.excessLogOdds == 0 || s.pathBelief.soundProbability(now) > reachableProbability
 	return isReachable && now >= s.probeAt
 }
 
-// needsProbe reports whether a server that is suspected is to be probed.
+// needsProbe reports whether a server of low success probability is to get more
+// requests: it is suspected, or has been until recently and needs a few more
+// successes for its full share.
 func (p *Pool) needsProbe(now model.Instant, s *server, isShort bool) bool {
 	return s.isProbeDue(now) && (isShort || p.floor.needs(now, s))
 }
