Split the summary of a service in explain

Cause: Logs.Service was one function of 35 lines, and three loops collected the servers of log lines.

Change: requestLines and countBefore are functions; triedServers serves all three. No change of behaviour.

Measured: tests of host/explain and host/cmd/pollenctl pass.

--- a/host/explain/explain.go
+++ b/host/explain/explain.go
@@ -166,7 +166,7 @@
 	return append([]string{f.Server}, f.Tried...)
 }
 
-// triedServers returns the servers that the lines of a request name.
+// triedServers returns the servers that got a request of the lines.
 func triedServers(lines []Line) map[string]bool {
 	servers := make(map[string]bool)
 	for _, line := range lines {
--- a/host/explain/service.go
+++ b/host/explain/service.go
@@ -43,55 +43,63 @@
 // Service returns the periods of a service in order of time, empty if no
 // request line names it.
 func (l *Logs) Service(service string) []ServicePeriod {
-	var lines []Line
-	for _, line := range l.lines {
-		if line.fields.isRequestLine() && line.fields.Service == service {
-			lines = append(lines, line)
-		}
-	}
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.fields.Time.Compare(b.fields.Time) })
-	known := make(map[string]bool)
-	for _, line := range lines {
-		for _, server := range line.fields.servers() {
-			known[server] = true
-		}
-	}
-	last := make(map[string]lineFields)
+	lines := l.requestLines(service)
+	known := triedServers(lines)
+	last := make(map[string]lineFields) // last earlier line of each server
 	var periods []ServicePeriod
 	for len(lines) > 0 {
 		start := lines[0].fields.Time.Truncate(usagePeriod)
-		end := slices.IndexFunc(lines, func(line Line) bool { return !line.fields.Time.Before(start.Add(usagePeriod)) })
-		if end < 0 {
-			end = len(lines)
-		}
-		period := summarize(start, lines[:end])
+		n := countBefore(lines, start.Add(usagePeriod))
+		period := summarize(start, lines[:n])
 		period.ServersKnown = len(known)
-		period.Unused = unusedServers(start, lines[:end], known, last)
+		period.Unused = unusedServers(start, lines[:n], known, last)
 		periods = append(periods, period)
-		for _, line := range lines[:end] {
+		for _, line := range lines[:n] {
 			for _, server := range line.fields.servers() {
 				last[server] = line.fields
 			}
 		}
-		lines = lines[end:]
+		lines = lines[n:]
 	}
 	return periods
 }
 
+// requestLines returns the lines of a service's requests in order of time.
+func (l *Logs) requestLines(service string) []Line {
+	var lines []Line
+	for _, line := range l.lines {
+		if line.fields.isRequestLine() && line.fields.Service == service {
+			lines = append(lines, line)
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.fields.Time.Compare(b.fields.Time) })
+	return lines
+}
+
+// countBefore returns how many of the sorted lines are before an instant.
+func countBefore(lines []Line, end time.Time) int {
+	n := slices.IndexFunc(lines, func(line Line) bool { return !line.fields.Time.Before(end) })
+	if n < 0 {
+		return len(lines)
+	}
+	return n
+}
+
 // summarize counts the lines of one period.
 func summarize(start time.Time, lines []Line) ServicePeriod {
-	p := ServicePeriod{Start: start, Reasons: make(map[string]int)}
-	used, hosts, short := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	p := ServicePeriod{
+		Start:       start,
+		Requests:    len(lines),
+		Reasons:     make(map[string]int),
+		ServersUsed: len(triedServers(lines)),
+	}
+	hosts, short := make(map[string]bool), make(map[string]bool)
 	for _, line := range lines {
 		f := line.fields
-		p.Requests++
 		if f.Result != string(model.Delivered) && f.Result != string(model.Late) {
 			p.Unserved++
 			p.Reasons[f.Reason]++
 		}
-		for _, server := range f.servers() {
-			used[server] = true
-		}
 		hosts[line.host()] = true
 		if f.ServiceShort {
 			short[line.host()] = true
@@ -100,19 +108,14 @@
 			p.Probes++
 		}
 	}
-	p.ServersUsed, p.Hosts, p.ShortHosts = len(used), len(hosts), len(short)
+	p.Hosts, p.ShortHosts = len(hosts), len(short)
 	return p
 }
 
 // unusedServers returns the known servers that the lines do not name, with the
 // last earlier line of each.
 func unusedServers(start time.Time, lines []Line, known map[string]bool, last map[string]lineFields) []UnusedServer {
-	used := make(map[string]bool)
-	for _, line := range lines {
-		for _, server := range line.fields.servers() {
-			used[server] = true
-		}
-	}
+	used := triedServers(lines)
 	var unused []UnusedServer
 	for server := range known {
 		if used[server] {
