Bound the notices on the shortage of a service

Change: at most one of these notices in two seconds for each service. The decision itself is unchanged.

--- a/decision/servers.go
+++ b/decision/servers.go
@@ -47,9 +47,10 @@
 	evidenceTimerAt model.Instant // when the evidence timer fires
 	coordinators    map[model.ServiceID]*health.Coordinator
 	unservedTimerAt model.Instant // when the timer for reports of unserved requests fires
-	// shortServices are the services that a notice reported as short of servers.
-	shortServices map[model.ServiceID]bool
-	publishedSets *health.EjectionSets
+	// shortageNotices are the last notices that reported a service as short of
+	// servers or no longer short.
+	shortageNotices map[model.ServiceID]shortageNotice
+	publishedSets   *health.EjectionSets
 	// appliedEjections are the published sets, limited by the floor (the share of
 	// a service's servers that stays in use) as this host sees it.
 	appliedEjections map[model.ServiceID]ejections
@@ -81,7 +82,7 @@
 		evidenceTimerAt:  model.Never,
 		unservedTimerAt:  model.Never,
 		coordinators:     make(map[model.ServiceID]*health.Coordinator),
-		shortServices:    make(map[model.ServiceID]bool),
+		shortageNotices:  make(map[model.ServiceID]shortageNotice),
 		publishedSets:    health.NewEjectionSets(),
 		appliedEjections: make(map[model.ServiceID]ejections),
 	}
@@ -242,7 +243,7 @@
 	delete(s.servers.rankedServers, id)
 	delete(s.servers.appliedEjections, id)
 	delete(s.servers.monitors, id)
-	delete(s.servers.shortServices, id)
+	delete(s.servers.shortageNotices, id)
 	delete(s.servers.coordinators, id)
 	if pool.InFlight() == 0 {
 		delete(s.servers.pools, id)
--- a/decision/servers_shortage.go
+++ b/decision/servers_shortage.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/message"
@@ -97,14 +98,25 @@
 	}
 }
 
+// minShortageNoticeInterval bounds the notices on a service whose share of
+// unserved requests is about that of a shortage.
+const minShortageNoticeInterval = 2 * time.Second
+
+// shortageNotice is the last notice on the shortage of a service.
+type shortageNotice struct {
+	isShort bool
+	at      model.Instant
+}
+
 // noteShortage reports when a service begins or ends to be short of servers at
 // this host, with what keeps servers from ordinary use.
 func (s *State) noteShortage(id model.ServiceID, pool *placement.Pool) {
 	isShort := pool.IsShort(s.now)
-	if isShort == s.servers.shortServices[id] {
+	last, ok := s.servers.shortageNotices[id]
+	if isShort == last.isShort || ok && s.now < last.at.Add(minShortageNoticeInterval) {
 		return
 	}
-	s.servers.shortServices[id] = isShort
+	s.servers.shortageNotices[id] = shortageNotice{isShort, s.now}
 	kind := effect.NoticeNotShort
 	if isShort {
 		kind = effect.NoticeShort
--- a/decision/servers_shortage_test.go
+++ b/decision/servers_shortage_test.go
@@ -98,3 +98,37 @@
 		})
 	}
 }
+
+// TestShortageNoticesAreBounded guards against a notice for each request while
+// the share of unserved requests is about that of a shortage: it crosses the
+// limit twice a second here.
+func TestShortageNoticesAreBounded(t *testing.T) {
+	const duration = 20 * time.Second
+	c := qt.New(t)
+	m := newSharedDetectionSim(t)
+	m.run(5 * time.Second)
+	m.halted = true
+	m.run(10 * time.Second)
+	state := m.hosts[0].state
+	pool := state.pool(simService)
+	changes, notices, wasShort := 0, 0, false
+	for i := range int(duration / (100 * time.Millisecond)) {
+		if i%10 == 0 {
+			pool.ObserveRemoteUnserved(m.now, 3)
+		}
+		state.now = m.now
+		before := state.servers.shortageNotices[simService]
+		state.noteShortage(simService, pool)
+		if state.servers.shortageNotices[simService] != before {
+			notices++
+		}
+		if pool.IsShort(m.now) != wasShort {
+			wasShort = !wasShort
+			changes++
+		}
+		m.run(time.Duration(m.now) + 100*time.Millisecond)
+	}
+	c.Check(changes >= 30, qt.IsTrue, qt.Commentf("%d changes", changes))
+	c.Check(notices > 0, qt.IsTrue)
+	c.Check(notices <= 1+int(duration/minShortageNoticeInterval), qt.IsTrue, qt.Commentf("%d notices", notices))
+}
