--- a/host/wire/value.go
+++ b/host/wire/value.go
@@ -46,19 +46,20 @@
 	if !ok {
 		return ServerLoad{}, ErrValue
 	}
-	inFlight, err := parseCount(inFlightText)
+	inFlight, err := ParseCount(inFlightText)
 	if err != nil {
 		return ServerLoad{}, err
 	}
-	slots, err := parseCount(slotsText)
+	slots, err := ParseCount(slotsText)
 	if err != nil || slots == 0 {
 		return ServerLoad{}, ErrValue
 	}
 	return ServerLoad{InFlight: inFlight, Slots: slots}, nil
 }
 
-// parseCount parses an unsigned decimal number without spaces.
-func parseCount(digits string) (int, error) {
+// ParseCount parses an unsigned decimal number without spaces, at most
+// maxLoadValue.
+func ParseCount(digits string) (int, error) {
 	n, err := strconv.ParseUint(digits, 10, 32)
 	if err != nil || n > maxLoadValue {
 		return 0, ErrValue
