membership: Probe the peers in rounds instead of at random

Callers were refused for 0.8 s in TestScenarios/rate: one of four hosts is lost, the store is down, and a host has authority only with evidence of the two others.

Cause: each probe went to an independently drawn peer, so a host did not probe one of them for the 4 s of the evidence window now and then: (2/3)^12, 0.8 % for each window. The draw also preferred the host after this one in the list, which was probed twice as often as others.

Change: peers are probed in rounds, each in a new random order, as SWIM does for the same reason. A fleet of n hosts probes each peer at least once in 2(n-1) probes.

--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -30,7 +30,7 @@
 }
 
 func (s *State) tickHeartbeat() {
-	if peer, m, ok := s.limits.members.ProbeRandomPeer(s.now, s.rand); ok {
+	if peer, m, ok := s.limits.members.ProbeNextPeer(s.now, s.rand); ok {
 		s.send(peer, s.fillHeartbeat(m))
 	}
 	s.probeStore()
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -36,9 +36,10 @@
 	domain  model.DomainID
 	started model.Instant
 
-	hasList bool                   // SetHosts was called
-	hosts   map[model.HostID]*host // listed hosts and this one
-	order   []model.HostID         // keys of hosts, sorted
+	hasList  bool                   // SetHosts was called
+	hosts    map[model.HostID]*host // listed hosts and this one
+	order    []model.HostID         // keys of hosts, sorted
+	unprobed []model.HostID         // peers not probed yet in this round, in random order
 
 	sequence     uint64 // of the last heartbeat
 	probedBackAt model.Instant
@@ -100,11 +101,13 @@
 	return h
 }
 
-// ProbeRandomPeer chooses a random peer and returns the heartbeat to send to
-// it. It reports false when there is no peer.
-func (s *State) ProbeRandomPeer(now model.Instant, rand *rand.Rand) (model.HostID, message.Heartbeat, bool) {
+// ProbeNextPeer returns the peer to probe next and the heartbeat to send to it.
+// It reports false when there is no peer. Peers are probed in rounds, each in a
+// new random order. Independent draws would leave a peer of a small fleet without
+// a probe for EvidenceWindow now and then.
+func (s *State) ProbeNextPeer(now model.Instant, rand *rand.Rand) (model.HostID, message.Heartbeat, bool) {
 	s.pruneProbes(now)
-	peer, ok := s.randomPeer(rand)
+	peer, ok := s.nextPeer(rand)
 	if !ok {
 		return "", message.Heartbeat{}, false
 	}
@@ -142,15 +145,19 @@
 	}
 }
 
-func (s *State) randomPeer(rand *rand.Rand) (model.HostID, bool) {
-	if len(s.order) < 2 {
-		return "", false
+func (s *State) nextPeer(rand *rand.Rand) (model.HostID, bool) {
+	isRemoved := func(id model.HostID) bool { return s.hosts[id] == nil }
+	s.unprobed = slices.DeleteFunc(s.unprobed, isRemoved)
+	if len(s.unprobed) == 0 {
+		s.unprobed = s.Peers()
+		rand.Shuffle(len(s.unprobed), func(i, j int) { s.unprobed[i], s.unprobed[j] = s.unprobed[j], s.unprobed[i] })
 	}
-	i := rand.IntN(len(s.order))
-	if s.order[i] == s.self.ID {
-		i = (i + 1) % len(s.order)
+	if len(s.unprobed) == 0 {
+		return "", false
 	}
-	return s.order[i], true
+	next := s.unprobed[0]
+	s.unprobed = s.unprobed[1:]
+	return next, true
 }
 
 // Answer returns the answer to a peer's heartbeat, with all evidence that this
--- a/decision/membership/membership_test.go
+++ b/decision/membership/membership_test.go
@@ -72,7 +72,7 @@
 			}
 			for _, h := range test.heard {
 				if h.probedAt >= 0 {
-					_, m, ok := s.ProbeRandomPeer(at(h.probedAt), rand.New(rand.NewPCG(1, 1)))
+					_, m, ok := s.ProbeNextPeer(at(h.probedAt), rand.New(rand.NewPCG(1, 1)))
 					c.Assert(ok, qt.IsTrue)
 					h.answer.Echo = m.Sequence
 				}
@@ -97,3 +97,34 @@
 	c.Assert(answer.Echo, qt.Equals, uint64(5))
 	c.Assert(answer.Young, qt.IsTrue)
 }
+
+// TestEachPeerIsProbedInTime guards against a peer that a host does not probe for
+// so long that its evidence of the peer becomes too old. Each peer has to be
+// probed in each round, also while hosts are added and removed.
+func TestEachPeerIsProbedInTime(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		s := New(ref(0), "d0", 0)
+		lastProbe := make(map[model.HostID]int)
+		listedFrom := 0
+		for i := range 1000 {
+			if i%50 == 0 {
+				s.SetHosts(at(i), entries(4+rnd.IntN(3)))
+				clear(lastProbe)
+				listedFrom = i
+			}
+			peer, _, ok := s.ProbeNextPeer(at(i), rnd)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(peer, qt.Not(qt.Equals), ref(0).ID)
+			lastProbe[peer] = i
+			for _, id := range s.Peers() {
+				last, wasProbed := lastProbe[id]
+				if !wasProbed {
+					last = listedFrom - 1
+				}
+				c.Assert(i-last < 2*len(s.Peers())+2, qt.IsTrue, qt.Commentf("seed %d: %s not probed for %d probes", seed, id, i-last))
+			}
+		}
+	}
+}
