--- a/decision/limits_scenarios_test.go
+++ b/decision/limits_scenarios_test.go
@@ -152,6 +152,31 @@
 	c.Assert(unowned, qt.Equals, 0)
 }
 
+// TestSmallFleetServesInOutage guards against hosts that become isolated, and so
+// refuse requests, in an outage of the store while one of four hosts is lost: each
+// host then needs recent evidence of both others.
+func TestSmallFleetServesInOutage(t *testing.T) {
+	c := qt.New(t)
+	samples, isolated := 0, 0
+	for seed := range uint64(10) {
+		f := settledFleet(seed, 4)
+		f.Hosts["h3"].Kill()
+		f.Store.Down = true
+		f.Run(15 * time.Second)
+		for range 600 {
+			f.Run(100 * time.Millisecond)
+			for _, id := range []model.HostID{"h0", "h1", "h2"} {
+				samples++
+				if decision.AuthorityOf(f.Hosts[id].State, f.Hosts[id].Now()) == "isolated" {
+					isolated++
+				}
+			}
+		}
+	}
+	c.Logf("isolated in %d of %d samples", isolated, samples)
+	c.Assert(isolated, qt.Equals, 0)
+}
+
 // TestStoreReachedByOne guards against hosts that mistake the loss of their
 // own store link for an outage for all: one host of 40 reaches the store, the
 // others learn that from it and owners renew through it.
