Keep slots whose owner is cut off from the store

Callers were refused (tokens_unavailable) for the share of an owner that the store turned away, while most hosts reached the store.

Cause: two faults in how an owner keeps its lease. First, a renewal that does not reach the store itself went through one peer a second; with a third of the peers cut off as well and lossy links, four such attempts fail now and then, and the owner goes on only by evidence of most hosts, until it is challenged. Second, it is challenged without reason: in a fleet of 116 news of an owner may take longer than 3 s to reach a host, and that host sent its intent to claim as soon as it had read the record, without waiting for the owner to answer its probe.

Change: attempts through peers go to three peers, and an intent is sent only after the owner's host was probed for 500 ms. An unplanned takeover takes up to 0.5 s longer.

TestClaim now also checks that no intent is sent within the probe time; its other checks are the same, 0.5 s later.

--- a/decision/limits_scenarios_test.go
+++ b/decision/limits_scenarios_test.go
@@ -223,6 +223,34 @@
 	}
 }
 
+// TestOwnersWithoutStoreKeepSlots guards against owners that lose their authority
+// while the store turns away a third of the hosts: their renewals have to reach
+// it through the other hosts, and a host that has not heard of an owner for a
+// while must not challenge it without asking. 116 hosts, lossy links.
+func TestOwnersWithoutStoreKeepSlots(t *testing.T) {
+	c := qt.New(t)
+	samples, unowned := 0, 0
+	for seed := range 4 {
+		f := newFleet(uint64(seed), 116, regionLink, limitsSnapshot(1, 5, nil))
+		f.Link.Loss = 0.1
+		f.Run(20 * time.Second)
+		for i, entry := range f.Options.Hosts {
+			f.Store.Unreachable[model.HostID(entry.ID)] = i%3 == seed%3
+		}
+		for range 150 {
+			f.Run(100 * time.Millisecond)
+			for _, id := range f.Snapshot.Slots() {
+				samples++
+				if ownerOf(f, id) == nil {
+					unowned++
+				}
+			}
+		}
+	}
+	c.Logf("slots without owner in %d of %d samples", unowned, samples)
+	c.Assert(unowned, qt.Equals, 0)
+}
+
 // TestTokenEndsBeforeWrite guards against a host that is paused between the
 // decision to forward and the first byte, and sends the request after its
 // token has expired at the owner.
--- a/decision/slot/claim.go
+++ b/decision/slot/claim.go
@@ -189,9 +189,11 @@
 }
 
 // stepProbe starts to collect acknowledgements once the owner has been silent
-// for ownerTimeout. stepClaim gives up the claim if the owner is alive.
+// for ownerTimeout and its host has not answered the probes of probeTimeout.
+// stepClaim gives up the claim if the owner is alive.
 func (s *State) stepProbe(now model.Instant, f Fleet, v *slot) {
-	if now >= v.ownerSeenAt.Add(ownerTimeout) {
+	isProbed := now >= v.claim.firstProbeAt.Add(probeTimeout)
+	if isProbed && now >= v.ownerSeenAt.Add(ownerTimeout) {
 		s.beginIntent(now, v)
 		s.stepIntent(now, f, v)
 	}
--- a/decision/slot/lease.go
+++ b/decision/slot/lease.go
@@ -85,8 +85,13 @@
 	s.sendRenewal(now, f, v)
 }
 
+// relayPeers is how many peers each attempt through peers goes to. Several,
+// because a part of them may be cut off from the store like this host.
+const relayPeers = 3
+
 // sendRenewal sends the pending renewal. Odd attempts go to the store directly,
-// even ones through a peer, because this host may be cut off from the store.
+// even ones through peers, because this host may be cut off from the store. All
+// write the same record, so it does no harm if several arrive.
 func (s *State) sendRenewal(now model.Instant, f Fleet, v *slot) {
 	p := v.lease.pending
 	p.lastSentAt = now
@@ -96,10 +101,14 @@
 		s.emit(Swap{v.id, v.lease.version, p.record})
 		return
 	}
-	peer := peers[(p.attempts/2+int(p.record.Renewal))%len(peers)]
-	s.emit(Send{peer.Ref.ID, message.RenewRelay{
-		Ask: s.nextSerial(), Slot: v.id, Version: v.lease.version, Record: p.record,
-	}})
+	count := min(relayPeers, len(peers))
+	first := p.attempts/2 + int(p.record.Renewal)
+	for i := range count {
+		peer := peers[(first+i*len(peers)/count)%len(peers)]
+		s.emit(Send{peer.Ref.ID, message.RenewRelay{
+			Ask: s.nextSerial(), Slot: v.id, Version: v.lease.version, Record: p.record,
+		}})
+	}
 }
 
 // confirmRenewal records that the pending renewal of a slot's lease is in the
--- a/decision/slot/slot.go
+++ b/decision/slot/slot.go
@@ -27,6 +27,10 @@
 	retryInterval = 500 * time.Millisecond
 	// probeInterval is the time between probes of the host of a silent owner.
 	probeInterval = 200 * time.Millisecond
+	// probeTimeout is how long the host of a silent owner is probed before other
+	// hosts are asked to acknowledge a claim. In a large fleet news of an owner may
+	// take longer than ownerTimeout to reach each host.
+	probeTimeout = 500 * time.Millisecond
 	// intentRetention is how long an intent is passed on in heartbeats: longer
 	// than any claim and any handover take.
 	intentRetention = 2 * time.Minute
--- a/decision/slot/slot_test.go
+++ b/decision/slot/slot_test.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -121,9 +122,10 @@
 	c.Assert(s.Held()[0].Until, qt.Equals, at(6000))
 }
 
-// TestClaim guards against a claim that does not wait for acknowledgements of
-// more than half of the hosts and for the owner's lease, and one that goes on
-// though the owner has renewed.
+// TestClaim guards against a claim that challenges the owner before its host has
+// had time to answer a probe, one that does not wait for acknowledgements of more
+// than half of the hosts and for the owner's lease, and one that goes on though
+// the owner has renewed.
 func TestClaim(t *testing.T) {
 	lost := model.SlotRecord{Owner: model.HostRef{ID: "h9", Incarnation: 1}, Term: 3, Renewal: 8}
 	renewed := lost
@@ -149,16 +151,20 @@
 			s := newState()
 			c.Assert(s.tick(4000), qt.DeepEquals, []Result{Read{testSlot}})
 			s.OnRead(at(4000), 0, fleetOf(0), read(lost, 8))
-			intents := s.DrainResults()
+			s.DrainResults()
+			for _, r := range s.tick(4490) {
+				c.Assert(r, qt.Equals, Result(ProbeHost{lost.Owner.ID}))
+			}
+			intents := slices.DeleteFunc(s.tick(4500), func(r Result) bool { return r == Result(ProbeHost{lost.Owner.ID}) })
 			c.Assert(intents, qt.HasLen, 2)
 			intent := intents[0].(Send).Message.(message.ClaimIntent)
 			for range test.acks {
-				s.OnMessage(at(4010), 0, fleetOf(0), peer, message.ClaimIntentAck(intent))
+				s.OnMessage(at(4510), 0, fleetOf(0), peer, message.ClaimIntentAck(intent))
 			}
-			s.tick(10_000)
+			s.tick(10_500)
 			c.Assert(s.slots[testSlot].claim.phase < phaseReread, qt.IsTrue)
-			s.tick(10_010)
-			s.OnRead(at(10_020), 0, fleetOf(0), test.reread)
+			s.tick(10_510)
+			s.OnRead(at(10_520), 0, fleetOf(0), test.reread)
 			s.DrainResults()
 			var swaps []Result
 			if v := s.slots[testSlot]; v.claim != nil && v.claim.phase == phaseSwap {
