Keep hosts in use that live although the platform's list has dropped them

Cause: a host's entry in the store lapses 8 s after its last renewal, also when the store turns this host away and serves the others. All hosts then drop it from the list and close their links to it. The shares of the accounts' limits that it owns cannot be used, and it gets no tokens from others, although all hosts hear from it.

Change: a host that the list drops stays in use while there is evidence that it is alive and none that it stops. The fleet test sends messages only to hosts in the sender's list, as the real links do.

--- a/decision/fleettest/host.go
+++ b/decision/fleettest/host.go
@@ -36,6 +36,7 @@
 	admitted        map[model.RequestID]bool // requests that were forwarded
 	timerSerial     uint64                   // number of the last SetTimer; earlier timers are void
 	snapshotVersion uint64                   // of the snapshot in force
+	peers           map[model.HostID]bool    // hosts to which messages can be sent
 }
 
 // Alive reports whether the host's process exists: it runs or is paused.
@@ -100,8 +101,12 @@
 		return
 	}
 	switch f := f.(type) {
+	case effect.SetHosts:
+		h.setPeers(f.Entries)
 	case effect.Send:
-		h.fleet.send(h, f)
+		if h.peers[f.To] {
+			h.fleet.send(h, f)
+		}
 	case effect.SetTimer:
 		h.setTimer(f.At)
 	case effect.ReadSlot:
@@ -127,6 +132,17 @@
 	}
 }
 
+// setPeers limits the messages that can be sent to the entry hosts in the list, as
+// the links of a real host do.
+func (h *Host) setPeers(entries []model.HostEntry) {
+	h.peers = make(map[model.HostID]bool)
+	for _, e := range entries {
+		if e.Role == model.RoleEntry {
+			h.peers[model.HostID(e.ID)] = true
+		}
+	}
+}
+
 // configure applies a snapshot unless the same or a newer one is in force.
 func (h *Host) configure(snapshot *configuration.Snapshot) {
 	if snapshot.Version > h.snapshotVersion {
--- /dev/null
+++ b/decision/hosts_unlisted.go
@@ -0,0 +1,65 @@
+package decision
+
+import (
+	"slices"
+
+	"pollensail.dev/decision/model"
+)
+
+// unlistedHosts are entry hosts that the platform's list no longer has although
+// they are alive. The entry of a host that the store turns away lapses with its
+// lease, while the other hosts still hear from it and it may own slots. Such a
+// host stays in use until the evidence of it is too old or it stops.
+type unlistedHosts struct {
+	// received is the last list from the platform.
+	received []model.HostEntry
+	// inUse are the entry hosts of the list in use, unlisted ones included.
+	inUse []model.HostEntry
+	// retained counts the unlisted ones.
+	retained int
+}
+
+// withUnlistedHosts returns the entries and the unlisted hosts.
+func (s *State) withUnlistedHosts(entries []model.HostEntry) []model.HostEntry {
+	u := &s.unlisted
+	all := slices.Clone(entries)
+	for _, e := range u.inUse {
+		if !isListed(entries, e) && s.isServing(e) {
+			all = append(all, e)
+		}
+	}
+	u.received = entries
+	u.retained = len(all) - len(entries)
+	u.inUse = slices.DeleteFunc(slices.Clone(all), func(e model.HostEntry) bool { return e.Role != model.RoleEntry })
+	return all
+}
+
+// isServing reports whether a host is this one, or known to be alive and not to
+// stop.
+func (s *State) isServing(e model.HostEntry) bool {
+	id := model.HostID(e.ID)
+	return id == s.self.ID || s.limits.members.IsServing(s.now, id)
+}
+
+// isListed reports whether entries contain the host, or another one that now has
+// its address.
+func isListed(entries []model.HostEntry, host model.HostEntry) bool {
+	return slices.ContainsFunc(entries, func(e model.HostEntry) bool {
+		isSameAddress := host.Peer != "" && e.Peer == host.Peer
+		return e.Role == model.RoleEntry && (e.ID == host.ID || isSameAddress)
+	})
+}
+
+// dropLostHosts removes the unlisted hosts that do not serve any more.
+func (s *State) dropLostHosts() {
+	u := &s.unlisted
+	if u.retained == 0 {
+		return
+	}
+	isLost := func(e model.HostEntry) bool {
+		return !isListed(u.received, e) && !s.isServing(e)
+	}
+	if slices.ContainsFunc(u.inUse, isLost) {
+		s.applyHostList(u.received)
+	}
+}
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -35,6 +35,7 @@
 	}
 	s.probeStore()
 	s.reportAuthority()
+	s.dropLostHosts()
 }
 
 func (s *State) fillHeartbeat(m message.Heartbeat) message.Heartbeat {
--- a/decision/limits_scenarios_test.go
+++ b/decision/limits_scenarios_test.go
@@ -12,6 +12,7 @@
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/fleettest"
+	"pollensail.dev/decision/membership"
 	"pollensail.dev/decision/model"
 )
 
@@ -251,6 +252,55 @@
 	c.Assert(unowned, qt.Equals, 0)
 }
 
+// TestUnlistedHostsStayInUse guards against a live host whose share of the
+// accounts' limits cannot be used, and which cannot use the shares of others,
+// because the platform's list has dropped it: its entry lapses while the store
+// turns it away. A host that is lost must go all the same.
+func TestUnlistedHostsStayInUse(t *testing.T) {
+	c := qt.New(t)
+	accounts := []configuration.Account{{ID: "a", Rate: 50, Burst: 50}, {ID: "b", Rate: 50, Burst: 50}}
+	f := newFleet(1, 12, regionLink, limitsSnapshot(1, 3, accounts))
+	f.Run(20 * time.Second)
+	inUse := make(map[model.HostID]int)
+	f.Intercept = func(h *fleettest.Host, e effect.Effect) bool {
+		if list, ok := e.(effect.SetHosts); ok {
+			inUse[h.Ref.ID] = len(list.Entries)
+		}
+		return false
+	}
+	l := newLoad(f, 1, accounts)
+	for i := range accounts {
+		l.start(i, 0.8, f.Now+20*time.Second)
+	}
+	dropped := ownerOf(f, firstSlot).Ref.ID
+	var listed []model.HostEntry
+	for i, entry := range f.Options.Hosts {
+		if i%3 != 1 && model.HostID(entry.ID) != dropped {
+			listed = append(listed, entry)
+		}
+	}
+	for _, h := range f.Hosts {
+		h.Post(event.HostListRead{Entries: listed})
+	}
+	begin := f.Now
+	f.Run(15 * time.Second)
+	total, refused := l.refused(begin, f.Now)
+	c.Logf("refused %v of %d", refused, total)
+	c.Check(sum(refused)*100 <= total, qt.IsTrue)
+	for id, h := range f.Hosts {
+		c.Check(inUse[id], qt.Equals, 12)
+		if id == dropped {
+			h.Kill()
+		}
+	}
+	f.Run(membership.EvidenceWindow + 2*time.Second)
+	for id, h := range f.Hosts {
+		if h.Alive() {
+			c.Check(inUse[id], qt.Equals, 11)
+		}
+	}
+}
+
 // TestTokenEndsBeforeWrite guards against a host that is paused between the
 // decision to forward and the first byte, and sends the request after its
 // token has expired at the owner.
--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -290,6 +290,15 @@
 	return ok && h.isAlive(now)
 }
 
+// IsServing reports whether there is evidence within EvidenceWindow that a
+// listed host was alive, and none that it is leaving or stopping.
+func (s *State) IsServing(now model.Instant, id model.HostID) bool {
+	h, ok := s.hosts[id]
+	return ok && h.isAlive(now) && h.isStaying()
+}
+
+func (h *host) isStaying() bool { return !h.entry.Leaving && !h.stopping }
+
 func (h *host) isAlive(now model.Instant) bool {
 	return h.isKnown && h.aliveAt.Add(EvidenceWindow) > now
 }
@@ -300,7 +309,7 @@
 		Ref:     h.ref,
 		Domain:  h.entry.Domain,
 		Alive:   h.isAlive(now),
-		Staying: !h.entry.Leaving && !h.stopping,
+		Staying: h.isStaying(),
 	}
 	if h.isKnown {
 		m.LastAliveAt = h.aliveAt
--- a/decision/reduce.go
+++ b/decision/reduce.go
@@ -111,9 +111,10 @@
 	}
 }
 
-// applyHostList distributes a complete list of hosts and backend servers to
-// the concerns that use it.
-func (s *State) applyHostList(entries []model.HostEntry) {
+// applyHostList distributes a complete list of hosts and backend servers, with
+// the unlisted hosts, to the concerns that use it.
+func (s *State) applyHostList(listed []model.HostEntry) {
+	entries := s.withUnlistedHosts(listed)
 	s.emit(effect.SetHosts{Entries: entries})
 	s.setConfigPeers(entries)
 	s.setMemberHosts(entries)
--- a/decision/state.go
+++ b/decision/state.go
@@ -39,6 +39,7 @@
 	// directory is the platform's list of hosts and servers, and where this host
 	// follows it.
 	directory directoryState
+	unlisted  unlistedHosts
 }
 
 // NewState returns the state of a process that has not started.
