Probe only as many suspected servers as the floor needs, and only in a shortage

Cause: in a shortage every suspected server was probed, three of ten of which still fail, and the floor was held at all times.

Change: one rule in place of two. While a service is short of servers, the floor is held with a reserve: at most a quarter of the servers that the floor allows may be unused, and the least suspected of the others are probed.

--- a/decision/placement/floor.go
+++ b/decision/placement/floor.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// floorReserve divides the servers that the floor allows to be unused: one part
+	// of them may be, the others make up for sound servers that are taken for
+	// failing ones, and for those in use that get few requests.
+	floorReserve = 4
 	// floorUpdateInterval bounds how often the servers are ranked for the floor.
 	floorUpdateInterval = 100 * time.Millisecond
 	// recentSignalAge is how long a suspected server counts as in use after a
@@ -16,9 +20,9 @@
 	recentSignalAge = 2 * time.Second
 )
 
-// floorRank keeps Limits.Floor of the servers in use, however many are
-// suspected. Hosts get the same signals, so without it all of them leave the
-// same servers unused.
+// floorRank keeps Limits.Floor of the servers in use while the service is short
+// of servers, however many are suspected. Hosts get the same signals, so without
+// it all of them leave the same servers unused.
 type floorRank struct {
 	// maxLogOdds is the highest log odds of failing among the suspected servers
 	// that the floor brings into use, the least suspected ones that were not in
@@ -41,7 +45,7 @@
 			f.unused = append(f.unused, s.serverBelief.logOdds(now))
 		}
 	}
-	maxUnused := len(servers) - int(math.Ceil(floor*float64(len(servers))))
+	maxUnused := int((1 - floor) * float64(len(servers)) / floorReserve)
 	missing := len(f.unused) - maxUnused
 	f.maxLogOdds = math.Inf(-1)
 	if missing > 0 {
--- a/decision/placement/pick.go
+++ b/decision/placement/pick.go
@@ -102,7 +102,9 @@
 func (p *Pool) computeWeights(now model.Instant, info PickInfo) {
 	p.weights = p.weights[:0]
 	isShort := p.IsShort(now)
-	p.floor.update(now, p.subset, p.limits.Floor)
+	if isShort {
+		p.floor.update(now, p.subset, p.limits.Floor)
+	}
 	unobservedWeight := intPower(priorSoundProbability, info.probabilityExponent())
 	for _, s := range p.eligible {
 		probabilityWeight := intPower(s.successProbability(now), info.probabilityExponent())
--- a/decision/placement/probe.go
+++ b/decision/placement/probe.go
@@ -30,14 +30,14 @@
 
 // needsProbe reports whether a server of low success probability is to get more
 // requests: it is suspected, or has been until recently and needs a few more
-// successes for its full share.
+// successes for its full share, and the service is too short of servers to leave
+// it unused.
 func (p *Pool) needsProbe(now model.Instant, s *server, isShort bool) bool {
-	return s.isProbeDue(now) && (isShort || p.floor.needs(now, s))
+	return isShort && s.isProbeDue(now) && p.floor.needs(now, s)
 }
 
 // IsProbe reports whether a request to the server is a probe: the server is
-// suspected, and gets the request because of the floor or because the service
-// is short of servers.
+// suspected, and gets the request because the service is short of servers.
 func (p *Pool) IsProbe(now model.Instant, id model.ServerID) bool {
 	s, ok := p.byID[id]
 	return ok && s.isSuspected(now) && p.needsProbe(now, s, p.IsShort(now))
