--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -124,6 +124,8 @@
 	NoticeSlotHandedOver NoticeKind = "slot_handed_over"
 	NoticeSlotLapsed     NoticeKind = "slot_lapsed"
 	NoticeSlotRenewed    NoticeKind = "slot_renewed"
+	NoticeHostUnlisted   NoticeKind = "host_unlisted"
+	NoticeHostLost       NoticeKind = "unlisted_host_lost"
 	NoticeEjected        NoticeKind = "server_ejected"
 	NoticeReadmitted     NoticeKind = "server_readmitted"
 	NoticeAtFloor        NoticeKind = "service_at_floor"
--- a/decision/hosts_unlisted.go
+++ b/decision/hosts_unlisted.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/model"
 )
 
@@ -13,27 +14,36 @@
 type unlistedHosts struct {
 	// received is the last list from the platform.
 	received []model.HostEntry
-	// inUse are the entry hosts of the list in use, unlisted ones included.
+	// inUse are the entry hosts of the list in use, retained ones included.
 	inUse []model.HostEntry
-	// retained counts the unlisted ones.
-	retained int
+	// retained are the hosts in use that received lacks.
+	retained []model.HostEntry
 }
 
 // withUnlistedHosts returns the entries and the unlisted hosts.
 func (s *State) withUnlistedHosts(entries []model.HostEntry) []model.HostEntry {
 	u := &s.unlisted
-	all := slices.Clone(entries)
+	var retained []model.HostEntry
 	for _, e := range u.inUse {
 		if !isListed(entries, e) && s.isServing(e) {
-			all = append(all, e)
+			retained = append(retained, e)
+			s.noteUnlisted(e)
 		}
 	}
+	all := slices.Concat(entries, retained)
 	u.received = entries
-	u.retained = len(all) - len(entries)
+	u.retained = retained
 	u.inUse = slices.DeleteFunc(slices.Clone(all), func(e model.HostEntry) bool { return e.Role != model.RoleEntry })
 	return all
 }
 
+// noteUnlisted reports that a host is retained, unless it already was.
+func (s *State) noteUnlisted(host model.HostEntry) {
+	if !slices.Contains(s.unlisted.retained, host) {
+		s.emitNotice(effect.NoticeHostUnlisted, host.ID)
+	}
+}
+
 // isServing reports whether a host is this one, or known to be alive and not to
 // stop.
 func (s *State) isServing(e model.HostEntry) bool {
@@ -50,16 +60,17 @@
 	})
 }
 
-// dropLostHosts removes the unlisted hosts that do not serve any more.
+// dropLostHosts removes the retained hosts that do not serve any more.
 func (s *State) dropLostHosts() {
 	u := &s.unlisted
-	if u.retained == 0 {
-		return
-	}
-	isLost := func(e model.HostEntry) bool {
-		return !isListed(u.received, e) && !s.isServing(e)
+	isLost := false
+	for _, e := range u.retained {
+		if !s.isServing(e) {
+			isLost = true
+			s.emitNotice(effect.NoticeHostLost, e.ID)
+		}
 	}
-	if slices.ContainsFunc(u.inUse, isLost) {
+	if isLost {
 		s.applyHostList(u.received)
 	}
 }
