Look up listed hosts in a set

Cause: withUnlistedHosts compared each host with each entry of a list, 5.4 million comparisons for each change at 650 hosts and 7,700 servers.

Change: a set of the listed hosts. No change of behaviour.

--- a/decision/hosts_unlisted.go
+++ b/decision/hosts_unlisted.go
@@ -23,18 +23,18 @@
 // withUnlistedHosts returns the entries and the unlisted hosts.
 func (s *State) withUnlistedHosts(entries []model.HostEntry) []model.HostEntry {
 	u := &s.unlisted
+	listed := newHostSet(entries)
 	var retained []model.HostEntry
 	for _, e := range u.inUse {
-		if !isListed(entries, e) && s.isServing(e) {
+		if !listed.has(e) && s.isServing(e) {
 			retained = append(retained, e)
 			s.noteUnlisted(e)
 		}
 	}
-	all := slices.Concat(entries, retained)
 	u.received = entries
 	u.retained = retained
-	u.inUse = slices.DeleteFunc(slices.Clone(all), func(e model.HostEntry) bool { return e.Role != model.RoleEntry })
-	return all
+	u.inUse = slices.Concat(listed.hosts, retained)
+	return slices.Concat(entries, retained)
 }
 
 // noteUnlisted reports that a host is retained, unless it already was.
@@ -51,15 +51,30 @@
 	return id == s.self.ID || s.limits.members.IsServing(s.now, id)
 }
 
-// isListed reports whether entries contain the host, or another one that now has
-// its address.
-func isListed(entries []model.HostEntry, host model.HostEntry) bool {
-	return slices.ContainsFunc(entries, func(e model.HostEntry) bool {
-		isSameAddress := host.Peer != "" && e.Peer == host.Peer
-		return e.Role == model.RoleEntry && (e.ID == host.ID || isSameAddress)
-	})
+// hostSet is a set of entry hosts.
+type hostSet struct {
+	hosts     []model.HostEntry
+	ids       map[string]bool
+	addresses map[string]bool // of their peer ports
 }
 
+// newHostSet returns the entry hosts among the entries.
+func newHostSet(entries []model.HostEntry) hostSet {
+	set := hostSet{ids: make(map[string]bool), addresses: make(map[string]bool)}
+	for _, e := range entries {
+		if e.Role == model.RoleEntry {
+			set.hosts = append(set.hosts, e)
+			set.ids[e.ID] = true
+			set.addresses[e.Peer] = e.Peer != ""
+		}
+	}
+	return set
+}
+
+// has reports whether the set contains the host, or another one that now has its
+// address.
+func (s hostSet) has(host model.HostEntry) bool { return s.ids[host.ID] || s.addresses[host.Peer] }
+
 // dropLostHosts removes the retained hosts that do not serve any more.
 func (s *State) dropLostHosts() {
 	u := &s.unlisted
