--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -72,8 +72,7 @@
 	// that it was healthy.
 	SuccessProbability float64
 	// IsProbe says that Server was chosen although it was suspected, to find out
-	// whether it has recovered, because the service was short of servers or too
-	// few of them were in use. ServiceShort says that this host then held the
+	// whether it has recovered, because the service was short of servers. ServiceShort says that this host then held the
 	// service to be short of servers.
 	IsProbe      bool
 	ServiceShort bool
--- a/decision/placement/pool.go
+++ b/decision/placement/pool.go
@@ -12,7 +12,7 @@
 // Limits bounds a host's use of one service.
 type Limits struct {
 	Hosts       int           // entry hosts that use the service
-	Floor       float64       // share of the servers, 0 to 1, that stays in use even if suspected
+	Floor       float64       // share of the servers, 0 to 1, that stays in use in a shortage even if suspected
 	Slots       int           // requests that a server processes concurrently
 	Connections int           // requests in flight from this host to each server; 0: no limit
 	Concurrency int           // bulkhead: requests in flight from this host to the service; 0: no limit
--- a/decision/placement/shortage.go
+++ b/decision/placement/shortage.go
@@ -8,8 +8,8 @@
 
 // While a service fails to serve a good part of its requests, leaving servers
 // idle for past failures costs more than trying them: most gray failures end by
-// themselves. The service is then short of servers, and each suspected server
-// gets a probe from time to time.
+// themselves. The service is then short of servers, and the least suspected
+// servers get probes until enough are in use (floorRank).
 //
 // One host of a large fleet sees too few requests for a service to notice this,
 // so the hosts tell each other of unserved requests. They do not tell each
