--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -25,6 +25,7 @@
 	"config":  playConfig,
 	"memory":  playMemory,
 	"move":    playMove,
+	"keyless": playKeyless,
 }
 
 func main() {
