--- a/review/lab/backend.go
+++ b/review/lab/backend.go
@@ -159,6 +159,7 @@
 		return
 	}
 	b.fleet.rec.printf("server %s (%s) runs %s tenant=%q %s %s", b.id, b.service, id, r.Header.Get("X-Tenant"), r.Method, r.URL.Path)
+	b.fleet.noteRun(id)
 	if b.fails != nil && b.fails(r) {
 		b.failRequest(w, id)
 		return
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -42,7 +42,10 @@
 	hosts  []*host
 	// services are the services of the servers by id.
 	services map[string]string
-	last     int // last byte of the last address given out
+
+	mu   sync.Mutex
+	ran  map[string]bool // ids of the requests that a server began to run
+	last int             // last byte of the last address given out
 }
 
 // host is one machine of the system: the settings stay, its process may end and
@@ -65,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, dir: dir, services: make(map[string]string)}
+	f := &fleet{rec: rec, dir: dir, services: make(map[string]string), ran: make(map[string]bool)}
 	f.subnet = fmt.Sprintf("127.%d.%d", 20+rand.Intn(200), rand.Intn(250))
 	f.store, err = startStore(f.nextIP())
 	return f, err
@@ -234,3 +237,15 @@
 
 // serviceOf returns the service of the server that stamped an answer.
 func (f *fleet) serviceOf(r *request) string { return f.services[r.server] }
+
+func (f *fleet) noteRun(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ran[id] = true
+}
+
+func (f *fleet) hasRun(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[id]
+}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -25,7 +25,7 @@
 	"config":  playConfig,
 	"memory":  playMemory,
 	"move":    playMove,
-	"keyless": playKeyless,
+	"stop":    playStop,
 }
 
 func main() {
