--- a/decision/config.go
+++ b/decision/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"pollensail.dev/decision/configuration"
@@ -57,10 +56,12 @@
 	rejected uint64
 	// problem says what is wrong with the newest configuration in the store, if it
 	// cannot be read.
-	problem        string
-	peers          []model.HostID          // the other listed entry hosts
-	peerVersions   map[model.HostID]uint64 // versions that peers reported, until one is active
-	lastPolledPeer int                     // index in peers of the last one polled for its version
+	problem string
+	// unusableObjects says which objects of the active version are unusable and why.
+	unusableObjects string
+	peers           []model.HostID          // the other listed entry hosts
+	peerVersions    map[model.HostID]uint64 // versions that peers reported, until one is active
+	lastPolledPeer  int                     // index in peers of the last one polled for its version
 
 	// confirmedAt is an instant at which the active version was the newest in the
 	// store. It is no later than when the call that confirmed it was sent. Valid
@@ -325,16 +326,25 @@
 	c.problem = e.Problem
 }
 
-// maxNoticeProblems bounds the problems that a notice lists.
-const maxNoticeProblems = 5
-
 // rejectVersion keeps the active version, because a newer one does not
 // validate or its content is incomplete.
 func (s *State) rejectVersion(version uint64, problems configuration.Problems) {
 	c := &s.config
 	c.rejected = version
 	c.pruneShardCache()
-	shown := problems[:min(len(problems), maxNoticeProblems)].Error()
-	detail := strings.ReplaceAll(shown, "\n", "; ")
-	s.emitNotice(effect.NoticeVersionRejected, fmt.Sprintf("version %d, %d problems: %s", version, len(problems), detail))
+	s.emitNotice(effect.NoticeVersionRejected, describeVersion(version, problems))
+}
+
+// noteUnusableObjects records what is wrong with a version that is in force without
+// some of its objects, so that operators see why requests to these are refused.
+func (s *State) noteUnusableObjects(version uint64, problems configuration.Problems) {
+	s.config.unusableObjects = ""
+	if len(problems) > 0 {
+		s.config.unusableObjects = describeVersion(version, problems)
+		s.emitNotice(effect.NoticeUnusableObjects, s.config.unusableObjects)
+	}
+}
+
+func describeVersion(version uint64, problems configuration.Problems) string {
+	return fmt.Sprintf("version %d, %d problems: %s", version, len(problems), problems.Describe())
 }
--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -52,7 +52,7 @@
 	c := &s.config
 	root := offer.root
 	c.target = configTarget{offeredRoot: offer, failedRequests: failedRequests}
-	if s.snapshot != nil && configuration.CanCompileIncrementally(c.root, root) {
+	if s.snapshot.CanBeBase() && configuration.CanCompileIncrementally(c.root, root) {
 		c.target.compiler = configuration.NewIncrementalCompiler(s.snapshot, c.root, root)
 		c.target.pending = configuration.ChangedShards(c.root, root)
 	} else {
@@ -104,10 +104,11 @@
 	root, compiler := c.target.root, c.target.compiler
 	c.target = configTarget{}
 	snapshot, problems := compiler.Finish()
-	if len(problems) > 0 {
+	if snapshot == nil {
 		s.rejectVersion(root.Version, problems)
 	} else {
 		s.activate(root, snapshot)
+		s.noteUnusableObjects(root.Version, problems)
 	}
 	s.startNextRoot(0)
 }
--- a/decision/configuration/compiler.go
+++ b/decision/configuration/compiler.go
@@ -13,9 +13,13 @@
 // NewIncrementalCompiler. The shards of the root and of inner branches
 // (IsInnerShard) must be added before the others.
 type Compiler struct {
-	snapshot   *Snapshot
-	isWhole    bool // compiles the whole tree; false for an incremental compiler
-	problems   Problems
+	snapshot *Snapshot
+	isWhole  bool // compiles the whole tree; false for an incremental compiler
+	problems Problems
+	// unusable are the paths of the objects that problems make unusable. Some
+	// problems of references do not.
+	unusable   map[Path]bool
+	isCorrupt  bool          // a shard does not hold what its name says, or a branch has an invalid path
 	innerPaths map[Path]bool // branches above the objects added so far
 	accounts   objectBuilder[Account]
 	routes     objectBuilder[routeDraft]
@@ -31,7 +35,7 @@
 }
 
 func newCompiler(snapshot *Snapshot, isWhole bool) *Compiler {
-	c := &Compiler{snapshot: snapshot, isWhole: isWhole, innerPaths: map[Path]bool{"": true}}
+	c := &Compiler{snapshot: snapshot, isWhole: isWhole, innerPaths: map[Path]bool{"": true}, unusable: make(map[Path]bool)}
 	c.accounts = newObjectBuilder(c, accountDefinitions)
 	c.routes = newObjectBuilder(c, routeDefinitions)
 	c.services = newObjectBuilder(c, serviceDefinitions)
@@ -45,6 +49,7 @@
 	for _, p := range slices.Sorted(maps.Keys(branches)) {
 		switch {
 		case !ok || !part.contains(p.Top(), p.Below()):
+			c.isCorrupt = true
 			c.reportBranch(p, "a branch in the shard that its path belongs to, not in "+shard)
 		case isInner:
 			c.addInner(p, branches[p])
@@ -54,8 +59,9 @@
 	}
 }
 
-// Finish returns the snapshot, or nil and the problems of the tree. The
-// compiler must not be used afterwards.
+// Finish returns the snapshot and the problems of the tree. The snapshot is nil if
+// the version must not be used because of them. The compiler must not be used
+// afterwards.
 func (c *Compiler) Finish() (*Snapshot, Problems) {
 	if c.isWhole {
 		c.finishRoot()
@@ -63,11 +69,16 @@
 	}
 	c.checkObjects()
 	c.checkReferences()
-	if len(c.problems) > 0 {
-		c.problems.sort()
+	c.problems.sort()
+	switch {
+	case len(c.problems) == 0:
+		return c.snapshot, nil
+	case !c.mayIsolate():
 		return nil, c.problems
+	default:
+		c.isolate()
+		return c.snapshot, c.problems
 	}
-	return c.snapshot, nil
 }
 
 // reportSetting records an invalid value of a setting.
@@ -75,11 +86,13 @@
 	if d.Secret && value != "" {
 		value = secretPlaceholder
 	}
+	c.unusable[p] = true
 	c.problems = append(c.problems, Problem{Branch: p, Setting: d.Name, Value: value, Expected: d.Expected})
 }
 
 // reportBranch records a problem of the branch itself.
 func (c *Compiler) reportBranch(p Path, expected string) {
+	c.unusable[p] = true
 	c.problems = append(c.problems, Problem{Branch: p, Expected: expected})
 }
 
@@ -115,6 +128,7 @@
 	if ok && (p == "" || isPath(string(p))) {
 		return true
 	}
+	c.isCorrupt = true
 	c.reportBranch(p, `a path below "accounts", "routes" or "services" of elements of letters, digits, "-", "_" and "."`)
 	return false
 }
@@ -146,6 +160,7 @@
 	}
 	if other, ok := c.snapshot.index.conflicting(&r); ok {
 		c.reportDuplicate(p, "path", r.Path, TopRoutes, string(other.ID))
+		c.markUnusable(p, Path(TopRoutes+"/"+string(other.ID)))
 	}
 	c.snapshot.AddRoute(&r)
 }
@@ -155,6 +170,7 @@
 	for _, server := range s.Servers {
 		if other, ok := c.servicesByServer()[server]; ok {
 			c.reportDuplicate(p, "servers", string(server), TopServices, string(other))
+			c.markUnusable(p, Path(TopServices+"/"+string(other)))
 		}
 		c.serviceOf[server] = s.ID
 	}
@@ -175,7 +191,8 @@
 	return c.serviceOf
 }
 
-// reportDuplicate records a value that another object has too.
+// reportDuplicate records a value that another object has too. It leaves both
+// usable.
 func (c *Compiler) reportDuplicate(p Path, setting, value, top, other string) {
 	expected := fmt.Sprintf("a value that %s/%s does not have", top, other)
 	c.problems = append(c.problems, Problem{Branch: p, Setting: setting, Value: value, Expected: expected})
--- a/decision/configuration/definitions.go
+++ b/decision/configuration/definitions.go
@@ -9,11 +9,10 @@
 // The upper limits of settings exclude values that can only be mistakes.
 const (
 	maxSlotsPerDomain = 64
-	maxBurst          = 1_000_000
+	maxBurst          = 1_000_000_000
 	maxWeight         = 1000
-	maxPriority       = 1000
-	maxAttempts       = 10
-	maxCount          = 1_000_000
+	maxPriority       = 1_000_000_000
+	maxCount          = 1_000_000_000
 )
 
 // MinListAge is the minimum of the setting list_age. It leaves time for several
@@ -29,14 +28,21 @@
 		func(s *Snapshot, v string) bool { return parseCount(&s.SlotsPerDomain, v, 1, maxSlotsPerDomain) }},
 	{Setting{Name: "list_age", Kind: KindRoot,
 		Expected: "how old a host's copy of the list of hosts and servers may be before the host watches the list itself, " +
-			"a duration from 500ms to 10m; unset: each host always watches it"},
+			"a duration from 500ms to 24h; unset: each host always watches it"},
 		func(s *Snapshot, v string) bool { return parseDuration(&s.ListAge, v, MinListAge, maxTimeout) }},
 	{Setting{Name: "withdrawal", Kind: KindRoot,
-		Expected: "the longest time until a revoked key stops working on every host, a duration from 1s to 10m; " +
+		Expected: "the longest time until a revoked key stops working on every host, a duration from 1s to 24h; " +
 			"unset: valid keys keep working while the store is down for all hosts"},
 		func(s *Snapshot, v string) bool {
 			return parseDuration(&s.KeyRevocationDelay, v, time.Second, maxTimeout)
 		}},
+	{Setting{Name: "invalid_objects", Kind: KindRoot, Default: "reject",
+		Expected: `what a client account, route or service with an invalid setting costs: "reject", the whole version, or ` +
+			`"isolate", requests to this object, for a store that has accepted the version already`},
+		func(s *Snapshot, v string) bool {
+			s.IsolatesInvalid = v == "isolate"
+			return v == "isolate" || v == "reject"
+		}},
 }
 
 var accountDefinitions = []definition[Account]{
@@ -50,10 +56,10 @@
 		Expected: "a whole number from 1 to 1000"},
 		func(a *Account, v string) bool { return parseCount(&a.Weight, v, 1, maxWeight) }},
 	{Setting{Name: "name", Kind: KindAccount, OwnOnly: true,
-		Expected: "the account name that is sent to backend servers, printable ASCII; unset: the path of the account"},
+		Expected: "the account name that is sent to backend servers, without control characters; unset: the path of the account"},
 		func(a *Account, v string) bool { return parseName(&a.Name, v) }},
 	{Setting{Name: "priority", Kind: KindAccount,
-		Expected: "the priority of the account's requests, from 0 (highest) to 1000; unset: the route's"},
+		Expected: "the priority of the account's requests, from 0 (highest) to 1000000000; unset: the route's"},
 		func(a *Account, v string) bool {
 			a.HasPriority = true
 			return parseCount(&a.Priority, v, 0, maxPriority)
@@ -89,7 +95,7 @@
 		Expected: `the name of a service that exists, without "services/"; either this or split is required`},
 		func(r *routeDraft, v string) bool { return parseService(&r.Service, v) }},
 	{Setting{Name: "split", Kind: KindRoute, List: true,
-		Expected: `services that exist, each with a weight from 1 to 1000000, such as "lookup 90"`},
+		Expected: `services that exist, each with a weight of at least 0, such as "lookup 90"; the weights are not all 0`},
 		func(r *routeDraft, v string) bool { return parseSplit(&r.Split, v) }},
 	{Setting{Name: "class", Kind: KindRoute, Default: model.Interactive.String(),
 		Expected: `"interactive", "mutation", "batch" or "upload"`},
@@ -103,7 +109,7 @@
 			return parseBool(&r.Idempotent, v)
 		}},
 	{Setting{Name: "timeout", Kind: KindRoute, Default: "10s",
-		Expected: `a duration from 1ms to 10m, such as "800ms"`},
+		Expected: `a duration from 1ms to 24h, such as "800ms"`},
 		func(r *routeDraft, v string) bool { return parseDuration(&r.Timeout, v, minTimeout, maxTimeout) }},
 	{Setting{Name: "idempotency_key", Kind: KindRoute,
 		Expected: `"required" or "none"; unset: required where the route is not idempotent`},
@@ -113,13 +119,13 @@
 			return v == "required" || v == "none"
 		}},
 	{Setting{Name: "target", Kind: KindRoute,
-		Expected: `the latency up to which a response is fully useful, a duration from 1ms to 10m`},
-		func(r *routeDraft, v string) bool { return parseDuration(&r.Target, v, minTimeout, maxTimeout) }},
+		Expected: `the latency up to which a response is fully useful, a duration of at most 24h; 0s: none`},
+		func(r *routeDraft, v string) bool { return parseDuration(&r.Target, v, 0, maxTimeout) }},
 	{Setting{Name: "attempts", Kind: KindRoute, Default: "3",
-		Expected: "the maximum number of servers that a request is sent to, from 1 to 10"},
-		func(r *routeDraft, v string) bool { return parseCount(&r.Attempts, v, 1, maxAttempts) }},
+		Expected: "the maximum number of servers that a request is sent to, at least 1"},
+		func(r *routeDraft, v string) bool { return parseCount(&r.Attempts, v, 1, maxCount) }},
 	{Setting{Name: "priority", Kind: KindRoute, Default: "0",
-		Expected: "the priority of the route's requests, from 0 (highest) to 1000"},
+		Expected: "the priority of the route's requests, from 0 (highest) to 1000000000"},
 		func(r *routeDraft, v string) bool { return parseCount(&r.Priority, v, 0, maxPriority) }},
 }
 
@@ -156,9 +162,9 @@
 		Expected: "how many additional retries the fleet may make in any window, at least 1; unset: each host a few"},
 		func(s *Service, v string) bool { return parseCount(&s.RetryExtra, v, 1, maxCount) }},
 	{Setting{Name: "retry_window", Kind: KindService, Default: "10s",
-		Expected: `the window of retry_extra, a duration from 1s to 10m`},
+		Expected: `the window of retry_extra, a duration from 1s to 24h`},
 		func(s *Service, v string) bool { return parseDuration(&s.RetryWindow, v, time.Second, maxTimeout) }},
 	{Setting{Name: "cold_ramp", Kind: KindService, Default: "10s",
-		Expected: `the slow-start time of a new server, a duration from 0s to 10m, such as "10s"`},
+		Expected: `the slow-start time of a new server, a duration from 0s to 24h, such as "10s"`},
 		func(s *Service, v string) bool { return parseDuration(&s.SlowStart, v, 0, maxTimeout) }},
 }
--- a/decision/configuration/incremental.go
+++ b/decision/configuration/incremental.go
@@ -16,6 +16,10 @@
 	return true
 }
 
+// CanBeBase reports whether an incremental compiler may start from the snapshot,
+// which may be nil. Which objects are unusable can depend on any other object.
+func (s *Snapshot) CanBeBase() bool { return s != nil && !s.HasProblems }
+
 // ChangedShards returns the shards of new that old does not have.
 func ChangedShards(old, new Root) []ShardRef {
 	known := make(map[ShardRef]bool, len(old.Shards))
@@ -33,7 +37,7 @@
 
 // NewIncrementalCompiler returns a compiler that starts from the snapshot of
 // old, without the objects of the shards that new does not have. The caller
-// adds the ChangedShards of new. CanCompileIncrementally must be true. The
+// adds the ChangedShards of new. CanCompileIncrementally and CanBeBase must be true. The
 // snapshot is copied on write, so it does not change.
 func NewIncrementalCompiler(snapshot *Snapshot, old, new Root) *Compiler {
 	next := *snapshot
--- a/decision/configuration/parse.go
+++ b/decision/configuration/parse.go
@@ -15,11 +15,18 @@
 // upper limit of all other durations too.
 const (
 	minTimeout = time.Millisecond
-	maxTimeout = 10 * time.Minute
+	maxTimeout = 24 * time.Hour
 )
 
 // maxRatePerSecond is the highest rate of an account in requests per second.
-const maxRatePerSecond = 1e6
+const maxRatePerSecond = 1e9
+
+// maxHostNameLength is the longest host name of DNS in bytes (RFC 1035).
+const maxHostNameLength = 253
+
+// maxNameLength bounds an account name in bytes. With the fields of the request
+// it has to fit into the header that servers accept.
+const maxNameLength = 4096
 
 // maxElementLength and maxPathLength are the maximum lengths in bytes of an
 // element of a path and of a whole path. They are bounded because paths appear
@@ -111,31 +118,71 @@
 	return isPath(value)
 }
 
+// unmatchedHost is the host name of a route whose names are invalid. No request has
+// it, while a route without names would match any.
+const unmatchedHost = " "
+
 func parseHosts(target *[]string, value string) bool {
-	return parseList(target, value, func(v string) (string, bool) {
-		return v, v == strings.ToLower(v) && isElement(v)
-	})
+	ok := parseList(target, value, func(v string) (string, bool) { return v, isHostName(v) })
+	if !ok {
+		*target = []string{unmatchedHost}
+	}
+	return ok
+}
+
+// isHostName reports whether v can be the host name of a request in lower case.
+func isHostName(v string) bool {
+	if v == "" || len(v) > maxHostNameLength || v != strings.ToLower(v) {
+		return false
+	}
+	return !strings.ContainsFunc(v, func(r rune) bool { return r <= ' ' || r == '/' || r == 0x7f })
 }
 
+// weightPrecision is the number of units in a weight of 1 where a split has weights
+// with a fraction.
+const weightPrecision = 1000
+
+// parseSplit accepts parts of weight 0, which get no requests, and several parts
+// of one service.
 func parseSplit(target *[]WeightedService, value string) bool {
-	return parseList(target, value, func(v string) (WeightedService, bool) {
-		name, digits, ok := strings.Cut(v, " ")
-		weight, err := strconv.Atoi(digits)
-		isWeight := err == nil && 1 <= weight && weight <= maxCount
-		return WeightedService{model.ServiceID(name), weight}, ok && isWeight && isPath(name)
-	})
+	var services []model.ServiceID
+	var weights []float64
+	unit := 1.0
+	for _, line := range Lines(value) {
+		name, number, ok := strings.Cut(line, " ")
+		weight, err := strconv.ParseFloat(number, 64)
+		isWeight := err == nil && 0 <= weight && weight <= maxCount
+		if !ok || !isWeight || !isPath(name) {
+			return false
+		}
+		if weight != math.Trunc(weight) {
+			unit = weightPrecision
+		}
+		services = append(services, model.ServiceID(name))
+		weights = append(weights, weight)
+	}
+	total := 0
+	parts := make([]WeightedService, len(services))
+	for i, service := range services {
+		parts[i] = WeightedService{service, int(math.Round(weights[i] * unit))}
+		total += parts[i].Weight
+	}
+	if total > 0 {
+		*target = parts
+	}
+	return total > 0
 }
 
-// parseName accepts printable ASCII without surrounding spaces, because the name
-// is sent in a header field.
+// parseName accepts text without control characters and surrounding spaces,
+// because the name is sent in a header field.
 func parseName(target *string, value string) bool {
 	*target = value
 	for i := range len(value) {
-		if value[i] < ' ' || value[i] > '~' {
+		if value[i] < ' ' || value[i] == 0x7f {
 			return false
 		}
 	}
-	return value != "" && len(value) <= maxPathLength && strings.TrimSpace(value) == value
+	return value != "" && len(value) <= maxNameLength && strings.TrimSpace(value) == value
 }
 
 func parseClass(target *model.Class, value string) bool {
--- a/decision/configuration/reference.go
+++ b/decision/configuration/reference.go
@@ -24,7 +24,7 @@
 		addAncestors(branches, Path(id))
 		for _, service := range r.Services() {
 			if _, ok := c.snapshot.Services[service]; !ok && service != "" {
-				c.reportInvalid(Path(TopRoutes+"/"+string(id)), "service", string(service))
+				c.reportReference(Path(TopRoutes+"/"+string(id)), "service", string(service))
 			}
 		}
 	}
@@ -32,12 +32,20 @@
 		for _, name := range a.Routes {
 			_, isRoute := c.snapshot.Routes[model.RouteID(name)]
 			if !isRoute && !branches[Path(name)] {
-				c.reportInvalid(Path(TopAccounts+"/"+string(id)), "routes", name)
+				c.reportReference(Path(TopAccounts+"/"+string(id)), "routes", name)
 			}
 		}
 	}
 }
 
+// reportReference records a reference to an object that does not exist. The object
+// that refers to it stays usable: requests to a service that does not exist are
+// refused, and other parts of a split get theirs.
+func (c *Compiler) reportReference(p Path, setting, value string) {
+	d, _ := Lookup(p, setting)
+	c.problems = append(c.problems, Problem{Branch: p, Setting: d.Name, Value: value, Expected: d.Expected})
+}
+
 // reportInvalid records an invalid value of a setting, looked up by name.
 func (c *Compiler) reportInvalid(p Path, setting, value string) {
 	d, _ := Lookup(p, setting)
--- a/decision/configuration/routeindex.go
+++ b/decision/configuration/routeindex.go
@@ -26,12 +26,16 @@
 	return keys
 }
 
+// add adds a route. A key of several routes belongs to the one with the lowest ID,
+// in whichever order they are added.
 func (x *routeIndex) add(r *Route) {
 	if x.byKey == nil {
 		x.byKey = make(map[routeKey]*Route)
 	}
 	for _, key := range r.keys() {
-		x.byKey[key] = r
+		if other, ok := x.byKey[key]; !ok || r.ID <= other.ID {
+			x.byKey[key] = r
+		}
 	}
 }
 
--- a/decision/configuration/snapshot.go
+++ b/decision/configuration/snapshot.go
@@ -22,12 +22,17 @@
 	// on every host, whether the host reaches the store or not; 0: valid keys
 	// keep working while the store is down for all hosts.
 	KeyRevocationDelay time.Duration
-	Accounts           map[model.AccountID]*Account
-	Keys               map[model.KeyHash]model.AccountID
-	Services           map[model.ServiceID]*Service
-	Routes             map[model.RouteID]*Route
-	index              routeIndex
-	inner              map[Path]Settings // the branches that objects inherit from
+	// IsolatesInvalid reports that an object with an invalid setting does not make
+	// the version invalid: it is Unusable, and all others are in force.
+	IsolatesInvalid bool
+	// HasProblems reports that the version is in force in spite of problems.
+	HasProblems bool
+	Accounts    map[model.AccountID]*Account
+	Keys        map[model.KeyHash]model.AccountID
+	Services    map[model.ServiceID]*Service
+	Routes      map[model.RouteID]*Route
+	index       routeIndex
+	inner       map[Path]Settings // the branches that objects inherit from
 }
 
 // Account is a client account.
@@ -47,6 +52,9 @@
 	// HasPriority is set it overrides the route's.
 	Priority    int
 	HasPriority bool
+	// Unusable reports that a setting is invalid, so that no request may run for
+	// the account.
+	Unusable bool
 }
 
 // Route maps requests to a service.
@@ -78,12 +86,15 @@
 	Attempts int
 	// Priority is the priority of the route's requests, 0 the highest.
 	Priority int
+	// Unusable reports that a setting is invalid. The route refuses its requests,
+	// which a route with a shorter path must not get instead.
+	Unusable bool
 }
 
 // WeightedService is a service with its weight in the traffic split of a route.
 type WeightedService struct {
 	Service model.ServiceID
-	Weight  int
+	Weight  int // in proportion to the other parts
 }
 
 // Services returns every service that the route sends requests to.
@@ -199,11 +210,14 @@
 	}
 }
 
-// AddAccount adds an account and its keys.
+// AddAccount adds an account and its keys. A key of several accounts belongs to
+// the one with the lowest ID, in whichever order they are added.
 func (s *Snapshot) AddAccount(a *Account) {
 	s.Accounts[a.ID] = a
 	for _, k := range a.Keys {
-		s.Keys[k] = a.ID
+		if other, ok := s.Keys[k]; !ok || a.ID < other {
+			s.Keys[k] = a.ID
+		}
 	}
 }
 
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -152,6 +152,9 @@
 	// NoticeVersionRejected: a version in the store is invalid; the previous
 	// one stays in force.
 	NoticeVersionRejected NoticeKind = "configuration_rejected"
+	// NoticeUnusableObjects: a version is in force without the client accounts,
+	// routes and services whose settings are invalid.
+	NoticeUnusableObjects NoticeKind = "configuration_objects_unusable"
 	// NoticePaused: a server has refused a request and asked to get no more for a
 	// time.
 	NoticePaused NoticeKind = "server_paused"
@@ -179,8 +182,8 @@
 	Servers   []ServerStatus // servers not in normal use: ejected, in trial, avoided, leaving or cold
 	Refusals  []RefusalCount
 	InFlight  int
-	// ConfigProblem says why the newest configuration in the store cannot be read;
-	// empty if it can.
+	// ConfigProblem says why the newest configuration in the store cannot be read,
+	// or which of its objects are unusable; empty if all of it is in force.
 	ConfigProblem string
 }
 
--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -10,6 +10,7 @@
 	ReasonIsolated            Reason = "isolated"             // neither the store nor a majority of hosts is reachable
 	ReasonKeysUnconfirmed     Reason = "keys_unconfirmed"     // no recent enough proof that the keys are current
 	ReasonStopping            Reason = "stopping"             // planned stop; new requests are rejected
+	ReasonUnusable            Reason = "unusable_object"      // a setting of the route or the account is invalid
 	ReasonNoRoute             Reason = "no_route"             // no route matches the path
 	ReasonMethod              Reason = "method_not_allowed"   // the route does not allow the method
 	ReasonKeyMissing          Reason = "key_missing"          // the route needs an API key
--- a/decision/request.go
+++ b/decision/request.go
@@ -11,7 +11,7 @@
 
 // maxTimeout is the deadline of a request until its route is known, and bounds
 // the timeout in claims of other hosts. Routes have a timeout of their own.
-const maxTimeout = 10 * time.Minute
+const maxTimeout = 24 * time.Hour
 
 // stage is how far a request has got.
 type stage uint8
@@ -95,6 +95,9 @@
 		return s.reasonIfCurrent(model.ReasonNoRoute)
 	}
 	r.route = route
+	if route.Unusable {
+		return model.ReasonUnusable
+	}
 	r.service = route.Service
 	if len(route.Split) > 0 {
 		r.service = route.ServiceFor(s.rand.Uint64())
@@ -133,6 +136,9 @@
 	if r.account != "" && r.account != account.ID {
 		return model.ReasonKeyUnknown
 	}
+	if account.Unusable {
+		return model.ReasonUnusable
+	}
 	if !account.Allows(r.route) {
 		return s.reasonIfCurrent(model.ReasonAccountRoute)
 	}
--- a/decision/status.go
+++ b/decision/status.go
@@ -15,7 +15,7 @@
 		InFlight: len(s.requests),
 		Refusals: s.refusalCounts(),
 
-		ConfigProblem: s.config.problem,
+		ConfigProblem: cmp.Or(s.config.problem, s.config.unusableObjects),
 	}
 	if s.snapshot != nil {
 		status.Version = s.snapshot.Version
--- a/host/cmd/pollenctl/status.go
+++ b/host/cmd/pollenctl/status.go
@@ -95,7 +95,7 @@
 		c.printf("  leaving\n")
 	}
 	if s.ConfigProblem != "" {
-		c.printf("  configuration in the store rejected: %s\n", s.ConfigProblem)
+		c.printf("  configuration in the store has problems: %s\n", s.ConfigProblem)
 	}
 	for _, server := range s.Servers {
 		c.printf("  server %s of %s: %s\n", server.Server, server.Service, server.State)
--- a/host/frontend/refusal.go
+++ b/host/frontend/refusal.go
@@ -32,6 +32,7 @@
 	model.ReasonIsolated:            {503, "this host is cut off from the fleet"},
 	model.ReasonKeysUnconfirmed:     {503, "it cannot be told whether the client account key is still valid"},
 	model.ReasonStopping:            {503, "this host is stopping"},
+	model.ReasonUnusable:            {503, "the configuration of the route or the client account is not usable"},
 	model.ReasonNoRoute:             {404, "no route matches the path"},
 	model.ReasonMethod:              {405, "the route does not allow the method"},
 	model.ReasonKeyMissing:          {401, "the route needs a client account key"},
--- a/host/telemetry/operator.go
+++ b/host/telemetry/operator.go
@@ -92,7 +92,8 @@
 	Slots       []SlotStatus   `json:"slots"`
 	Servers     []ServerStatus `json:"servers"`
 	Refusals    []RefusalCount `json:"refusals"`
-	// ConfigProblem says why the newest configuration in the store cannot be read.
+	// ConfigProblem says why the newest configuration in the store cannot be read,
+	// or which of its objects are unusable.
 	ConfigProblem string `json:"config_problem,omitempty"`
 }
 
