Handle signals before the listeners are open

Cause: SIGHUP was handled only once a goroutine had run, SIGTERM only after the listeners were open, so that an early signal had its default action and cut off connections without an answer. Change: both are handled before the settings are read.

--- a/host/cmd/pollensail/main.go
+++ b/host/cmd/pollensail/main.go
@@ -57,6 +57,11 @@
 }
 
 func run(file string) error {
+	// Until a process handles a signal, the signal ends it. The listeners take
+	// connections once they are open, so the signals come first.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ctx, stop := shutdownContexts()
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -71,16 +76,13 @@
 	if err != nil {
 		return &settings.Error{File: file, Problem: err.Error()}
 	}
-	ctx, stop := shutdownContexts()
-	go reloadOnHangup(ctx, file, p, &logger.Logger)
+	go reloadOnHangup(ctx, hangup, file, p, &logger.Logger)
 	return p.Run(ctx, stop)
 }
 
 // reloadOnHangup reloads the settings file at each SIGHUP until ctx ends. If the
 // file is invalid, the current settings stay in force.
-func reloadOnHangup(ctx context.Context, file string, p *process.Process, logger *log.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, file string, p *process.Process, logger *log.Logger) {
 	for {
 		select {
 		case <-hangup:
--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -97,6 +97,51 @@
 	_ = cmd.Wait() // it was killed
 }
 
+// TestSignalAtStart guards against a signal that ends the process at once because it
+// comes while the process starts, when its listeners take connections already.
+func TestSignalAtStart(t *testing.T) {
+	const starts = 20
+	for _, tc := range []struct {
+		signal syscall.Signal
+		want   string
+	}{
+		{syscall.SIGHUP, "settings reloaded"},
+		{syscall.SIGTERM, "planned stop begins"},
+	} {
+		t.Run(tc.signal.String(), func(t *testing.T) {
+			c := qt.New(t)
+			for range starts {
+				address := freeAddress(c)
+				cmd, lines := start(c, strings.Replace(validSettings, `caller = "127.0.0.1:0"`, fmt.Sprintf("caller = %q", address), 1))
+				awaitListener(c, address)
+				c.Assert(cmd.Process.Signal(tc.signal), qt.IsNil)
+				awaitLine(c, lines, tc.want)
+				c.Assert(cmd.Process.Kill(), qt.IsNil)
+				_ = cmd.Wait() // it was killed
+			}
+		})
+	}
+}
+
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func awaitListener(c *qt.C, address string) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			conn.Close()
+			return
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	c.Fatalf("nothing listens on %s", address)
+}
+
 // TestUnusableSettings guards against a start that does not fail although its
 // settings cannot be used, and against a failure without exit code 2 or without
 // a message that names the file and the key.
