--- a/decision/export_test.go
+++ b/decision/export_test.go
@@ -45,3 +45,7 @@
 
 // FollowsStore reports whether the host follows the host list in the store.
 func FollowsStore(s *State) bool { return s.directory.source != sourcePeers }
+
+// IsLeaving reports whether the host gives a backend server no new requests because
+// it is leaving.
+func IsLeaving(s *State, id string) bool { return s.servers.roster.IsLeaving(model.ServerID(id)) }
--- a/decision/hostlist_fleet_test.go
+++ b/decision/hostlist_fleet_test.go
@@ -210,6 +210,46 @@
 	}
 }
 
+// TestRestartedServerIsUsedAgain guards against a server that is never used again
+// after a restart under its ID, because heartbeats still announce that the process
+// before is leaving. In a fleet of any size no host may miss the restart.
+func TestRestartedServerIsUsedAgain(t *testing.T) {
+	for _, hosts := range []int{4, 8, 40} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%d hosts, seed %d", hosts, seed), func(t *testing.T) {
+				c := qt.New(t)
+				l := newListFleet(seed, hosts)
+				l.fleet.Run(20 * time.Second)
+				process := model.HostEntry{ID: "b:1", Role: model.RoleBackend, Service: "lookup", Since: 1}
+				for restart := range 3 {
+					process.Leaving = false
+					process.Since = model.WallTime(1 + restart)
+					l.put(process)
+					l.fleet.Run(2 * time.Second)
+					c.Assert(l.countLeaving("b:1"), qt.Equals, 0)
+					process.Leaving = true
+					l.put(process)
+					l.fleet.Run(3 * time.Second)
+					c.Assert(l.countLeaving("b:1"), qt.Equals, hosts)
+					l.remove("b:1")
+					l.fleet.Run(time.Second)
+				}
+			})
+		}
+	}
+}
+
+// countLeaving counts the running hosts for which the server is leaving.
+func (l *platformList) countLeaving(id string) int {
+	n := 0
+	for _, h := range l.fleet.Hosts {
+		if h.Running() && decision.IsLeaving(h.State, id) {
+			n++
+		}
+	}
+	return n
+}
+
 // TestLapsedServersReturn guards against a fleet without servers after a store
 // outage in which their entries expired, and against requests to a server that
 // does not reappear.
--- a/decision/limits_membership.go
+++ b/decision/limits_membership.go
@@ -40,7 +40,7 @@
 
 func (s *State) fillHeartbeat(m message.Heartbeat) message.Heartbeat {
 	m.Version, m.Confirmed, m.ConfigAge = s.advertisedConfirmation()
-	m.Leaving = s.leavingServers()
+	s.addLeavingServers(&m)
 	m.Stopping = s.stopping
 	return m
 }
@@ -54,7 +54,7 @@
 	s.limits.slots.HandleHeartbeat(s.now, m)
 	s.expireSlotAuthority()
 	s.applySlotResults()
-	s.onPeerLeavingServers(m.Leaving)
+	s.onPeerLeavingServers(m)
 	s.onPeerVersion(from, m.Version)
 	if m.Echo != 0 || m.Sequence == 0 {
 		return
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -42,6 +42,10 @@
 	Hosts     []HostAge   // at most MaxHostAges, most recent first
 	Leaving   []model.ServerID
 	Stopping  bool // the sender accepts no new work
+	// LeavingStarts holds HostEntry.Since of each server in Leaving, as far as the
+	// sender knows it; 0 if not. A server that started later is not meant. It is
+	// empty in the heartbeats of hosts of an older release.
+	LeavingStarts []model.WallTime
 }
 
 // MaxHostAges bounds Heartbeat.Hosts, so that the size of a heartbeat does not
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -86,12 +86,7 @@
 		return []model.HostEntry{{ID: string(id), Role: model.RoleBackend, Leaving: leaving, Since: since}}
 	}
 	at := func(d time.Duration) model.Instant { return model.Instant(0).Add(d) }
-	tests := []struct {
-		name    string
-		script  func(*Roster)
-		leaving bool
-		cold    bool
-	}{
+	tests := []rosterScript{
 		{"warm at the start", func(r *Roster) { r.ApplyHostList(0, entry(false, 5)) }, false, false},
 		{"cold when it comes later", func(r *Roster) {
 			r.ApplyHostList(0, nil)
@@ -99,7 +94,7 @@
 		}, false, true},
 		{"lagging list", func(r *Roster) {
 			r.ApplyHostList(0, entry(false, 5))
-			r.MarkLeaving(at(time.Second), id)
+			r.MarkLeaving(at(time.Second), id, 5)
 			r.ApplyHostList(at(2*time.Second), entry(false, 5))
 			r.ApplyHostList(at(3*time.Second), nil)
 			r.ApplyHostList(at(99*time.Second), entry(false, 5))
@@ -115,16 +110,17 @@
 		}, false, true},
 		{"configured server that was not listed returns", func(r *Roster) {
 			r.ApplyConfiguration(0, []model.ServerID{id})
-			r.MarkLeaving(at(30*time.Second), id)
+			r.MarkLeaving(at(30*time.Second), id, 0)
 			r.Expire(at(95 * time.Second))
 		}, false, true},
 		{"a peer's word does not prolong", func(r *Roster) {
 			r.ApplyConfiguration(0, []model.ServerID{id})
-			r.MarkLeaving(at(30*time.Second), id)
-			r.MarkLeavingFromPeer(at(89*time.Second), id)
+			r.MarkLeaving(at(30*time.Second), id, 0)
+			r.MarkLeavingFromPeer(at(89*time.Second), LeavingServer{Server: id})
 			r.Expire(at(95 * time.Second))
 		}, false, true},
 	}
+	tests = append(tests, restartScripts(id, entry)...)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -136,6 +132,56 @@
 	}
 }
 
+// rosterScript is a sequence of news about one server, and what is to be known of it
+// 100 s after the first.
+type rosterScript struct {
+	name    string
+	script  func(*Roster)
+	leaving bool
+	cold    bool
+}
+
+// restartScripts guards against news of a process that has ended which keep the one
+// that was started in its place out of use, and against a restart that hides that
+// the new process is leaving too.
+func restartScripts(id model.ServerID, entry func(leaving bool, since model.WallTime) []model.HostEntry) []rosterScript {
+	at := func(d time.Duration) model.Instant { return model.Instant(0).Add(d) }
+	return []rosterScript{
+		{"a peer has not seen the restart", func(r *Roster) {
+			r.ApplyHostList(0, entry(true, 5))
+			r.ApplyHostList(at(98*time.Second), entry(false, 7))
+			r.MarkLeavingFromPeer(at(99*time.Second), LeavingServer{id, 5})
+		}, false, true},
+		{"a peer tells before the list has the restart", func(r *Roster) {
+			r.ApplyHostList(0, entry(false, 5))
+			r.ApplyHostList(at(97*time.Second), nil)
+			r.MarkLeavingFromPeer(at(98*time.Second), LeavingServer{id, 5})
+			r.ApplyHostList(at(99*time.Second), entry(false, 7))
+		}, false, true},
+		{"an answer of the process before", func(r *Roster) {
+			r.ApplyHostList(0, entry(false, 5))
+			r.ApplyHostList(at(97*time.Second), nil)
+			r.ApplyHostList(at(98*time.Second), entry(false, 7))
+			r.MarkLeaving(at(99*time.Second), id, 5)
+		}, false, true},
+		{"a peer that knows no start", func(r *Roster) {
+			r.ApplyHostList(0, entry(false, 5))
+			r.MarkLeavingFromPeer(at(30*time.Second), LeavingServer{Server: id})
+			r.Expire(at(95 * time.Second))
+		}, false, true},
+		{"the new process is leaving", func(r *Roster) {
+			r.ApplyHostList(0, entry(true, 5))
+			r.ApplyHostList(at(80*time.Second), entry(false, 7))
+			r.MarkLeavingFromPeer(at(99*time.Second), LeavingServer{id, 7})
+		}, true, false},
+		{"a peer knows of the new process first", func(r *Roster) {
+			r.ApplyHostList(0, entry(false, 5))
+			r.MarkLeavingFromPeer(at(98*time.Second), LeavingServer{id, 7})
+			r.ApplyHostList(at(99*time.Second), entry(false, 7))
+		}, true, false},
+	}
+}
+
 // TestPauseOutlastsListGap guards against requests to a paused server that the
 // host list dropped for a moment.
 func TestPauseOutlastsListGap(t *testing.T) {
--- a/decision/placement/roster.go
+++ b/decision/placement/roster.go
@@ -39,8 +39,9 @@
 	isListed     bool
 	isConfigured bool // named by the configuration
 	isLeaving    bool
-	leavingSince model.Instant // when it was first known to be leaving
-	forgetAt     model.Instant // when leaving is forgotten; model.Never: not while the list has the server
+	leavingStart model.WallTime // HostEntry.Since of the process that is leaving; 0: unknown
+	leavingSince model.Instant  // when it was first known to be leaving
+	forgetAt     model.Instant  // when leaving is forgotten; model.Never: not while the list has the server
 }
 
 // NewRoster returns an empty roster.
@@ -100,7 +101,7 @@
 	if !e.Leaving {
 		return false
 	}
-	return r.MarkLeaving(now, id)
+	return r.MarkLeaving(now, id, e.Since)
 }
 
 // scheduleExpiry sets when leaving servers that the list has dropped are
@@ -127,30 +128,44 @@
 	return p
 }
 
-// MarkLeaving records that the server is leaving and reports whether that is
-// new. A server that is not in the list is remembered for a bounded time from
-// the last call, because no list will drop it.
-func (r *Roster) MarkLeaving(now model.Instant, id model.ServerID) bool {
+// MarkLeaving records that the server's process with the given start, 0 if unknown,
+// is leaving and reports whether that is new. It ignores a process that was
+// restarted since: the new one knows nothing of before. A server that is not in the
+// list is remembered for a bounded time from the last call, because no list will
+// drop it, and so is one that is listed with a start that may be another.
+func (r *Roster) MarkLeaving(now model.Instant, id model.ServerID, start model.WallTime) bool {
 	p := r.getOrAdd(now, id, false)
-	isNew := !p.isLeaving
+	if start != 0 && start < p.listedSince {
+		return false
+	}
+	isNew := !p.isLeaving || p.isEarlierStart(start)
 	p.isLeaving = true
+	p.leavingStart = max(p.leavingStart, start)
+	p.listedSince = max(p.listedSince, start)
 	if isNew {
 		p.leavingSince = now
 	}
 	p.forgetAt = now.Add(leavingRetention)
-	if p.isListed {
+	if p.isListed && p.leavingStart >= p.listedSince {
 		p.forgetAt = model.Never
 	}
 	return isNew
 }
 
+// isEarlierStart reports whether the process that is leaving started before the
+// given start.
+func (p *rosterEntry) isEarlierStart(start model.WallTime) bool {
+	return p.leavingStart != 0 && p.leavingStart < start
+}
+
 // MarkLeavingFromPeer is MarkLeaving for an announcement by a peer. It does not
-// extend the time of a server that is already known to be leaving.
-func (r *Roster) MarkLeavingFromPeer(now model.Instant, id model.ServerID) bool {
-	if r.IsLeaving(id) {
+// extend the time of a process that is already known to be leaving.
+func (r *Roster) MarkLeavingFromPeer(now model.Instant, announced LeavingServer) bool {
+	p, ok := r.entries[announced.Server]
+	if ok && p.isLeaving && !p.isEarlierStart(announced.Start) {
 		return false
 	}
-	return r.MarkLeaving(now, id)
+	return r.MarkLeaving(now, announced.Server, announced.Start)
 }
 
 // Expire forgets leaving servers whose time has passed. A configured or listed
@@ -175,6 +190,7 @@
 		return
 	}
 	p.isLeaving = false
+	p.leavingStart = 0
 	p.forgetAt = model.Never
 	p.coldSince = now
 }
@@ -233,24 +249,31 @@
 	return p.slots
 }
 
-// Leaving returns all leaving servers, sorted.
-func (r *Roster) Leaving() []model.ServerID {
-	return r.leavingMatching(func(*rosterEntry) bool { return true })
+// Start returns the start of the server's process from the host list, 0 if it is
+// unknown.
+func (r *Roster) Start(id model.ServerID) model.WallTime {
+	p, ok := r.entries[id]
+	if !ok {
+		return 0
+	}
+	return p.listedSince
 }
 
-// LeavingToAnnounce returns the leaving servers that heartbeats announce,
-// sorted.
-func (r *Roster) LeavingToAnnounce(now model.Instant) []model.ServerID {
-	return r.leavingMatching(func(p *rosterEntry) bool { return now < p.leavingSince.Add(announceDuration) })
+// LeavingServer is a server whose process with the given start is leaving.
+type LeavingServer struct {
+	Server model.ServerID
+	Start  model.WallTime // HostEntry.Since; 0: unknown
 }
 
-func (r *Roster) leavingMatching(keep func(*rosterEntry) bool) []model.ServerID {
-	var ids []model.ServerID
+// LeavingToAnnounce returns the leaving servers that heartbeats announce, sorted
+// by ID.
+func (r *Roster) LeavingToAnnounce(now model.Instant) []LeavingServer {
+	var leaving []LeavingServer
 	for id, p := range r.entries {
-		if p.isLeaving && keep(p) {
-			ids = append(ids, id)
+		if p.isLeaving && now < p.leavingSince.Add(announceDuration) {
+			leaving = append(leaving, LeavingServer{id, p.leavingStart})
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(leaving, func(a, b LeavingServer) int { return cmp.Compare(a.Server, b.Server) })
+	return leaving
 }
--- a/decision/servers_health.go
+++ b/decision/servers_health.go
@@ -26,7 +26,7 @@
 	s.recordServerLoad(r, result)
 	s.recordAnswerTime(r, result)
 	if result.Draining || result.WrongServer {
-		s.onServerDraining(r.server)
+		s.onServerDraining(r)
 	}
 	if result.Streaming {
 		streamed := result
--- a/decision/servers_leaving.go
+++ b/decision/servers_leaving.go
@@ -2,19 +2,28 @@
 
 import (
 	"pollensail.dev/decision/effect"
+	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/decision/placement"
 )
 
-// leavingServers returns the servers to announce as leaving in heartbeats.
-func (s *State) leavingServers() []model.ServerID {
-	return s.servers.roster.LeavingToAnnounce(s.now)
+// addLeavingServers adds the leaving servers to a heartbeat.
+func (s *State) addLeavingServers(m *message.Heartbeat) {
+	for _, leaving := range s.servers.roster.LeavingToAnnounce(s.now) {
+		m.Leaving = append(m.Leaving, leaving.Server)
+		m.LeavingStarts = append(m.LeavingStarts, leaving.Start)
+	}
 }
 
 // onPeerLeavingServers handles the leaving servers of a peer's heartbeat.
-func (s *State) onPeerLeavingServers(servers []model.ServerID) {
+func (s *State) onPeerLeavingServers(m message.Heartbeat) {
 	changed := false
-	for _, id := range servers {
-		if s.servers.roster.MarkLeavingFromPeer(s.now, id) {
+	for i, id := range m.Leaving {
+		announced := placement.LeavingServer{Server: id}
+		if i < len(m.LeavingStarts) {
+			announced.Start = m.LeavingStarts[i]
+		}
+		if s.servers.roster.MarkLeavingFromPeer(s.now, announced) {
 			changed = true
 			s.noteLeaving(id, "a peer")
 		}
@@ -24,13 +33,14 @@
 	}
 }
 
-// onServerDraining handles an answer in which a server says that it is
-// leaving, or that comes from another server at its address.
-func (s *State) onServerDraining(id model.ServerID) {
-	if !s.servers.roster.MarkLeaving(s.now, id) {
+// onServerDraining handles an answer to a request in which its server says that it
+// is leaving, or that comes from another server at its address. It concerns the
+// process that the request was sent to, not one that started since.
+func (s *State) onServerDraining(r *request) {
+	if !s.servers.roster.MarkLeaving(s.now, r.server, r.serverStart) {
 		return
 	}
-	s.noteLeaving(id, "the server")
+	s.noteLeaving(r.server, "the server")
 	s.rebuildPools()
 }
 
--- a/decision/servers_place.go
+++ b/decision/servers_place.go
@@ -14,9 +14,10 @@
 // requestPlacement is a request's reservation at a server, or its position in
 // the queue for one.
 type requestPlacement struct {
-	isPlaced           bool // holds a reservation at server and in the bulkhead
-	isQueued           bool // is in the queue of its service
-	isDequeued         bool // has just been removed from the queue
+	isPlaced           bool           // holds a reservation at server and in the bulkhead
+	isQueued           bool           // is in the queue of its service
+	isDequeued         bool           // has just been removed from the queue
+	serverStart        model.WallTime // of the server's process when it was chosen; 0: unknown
 	placedAt           model.Instant
 	successProbability float64       // of the server, estimated when it was chosen
 	isProbe            bool          // server was chosen although it was suspected
@@ -58,6 +59,7 @@
 		pool.CountRequest()
 	}
 	r.server = server
+	r.serverStart = s.servers.roster.Start(server)
 	r.isPlaced = true
 	r.successProbability = pool.SuccessProbability(s.now, server)
 	r.isProbe = pool.IsProbe(s.now, server)
--- a/decision/servers_place_test.go
+++ b/decision/servers_place_test.go
@@ -8,6 +8,7 @@
 
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
+	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
 )
 
@@ -27,7 +28,7 @@
 			m.run(time.Duration(m.now) + time.Second)
 		}},
 		{"a peer", func(m *sim, s *simServer) {
-			m.hosts[0].state.onPeerLeavingServers([]model.ServerID{s.id})
+			m.hosts[0].state.onPeerLeavingServers(message.Heartbeat{Leaving: []model.ServerID{s.id}})
 		}},
 	}
 	for _, test := range tests {
@@ -43,7 +44,7 @@
 			m.hosts[0].reduce(event.HostListRead{Entries: m.list}) // an outdated list
 			m.run(30 * time.Second)
 			c.Check(server.received, qt.Equals, before)
-			c.Check(m.hosts[0].state.leavingServers(), qt.HasLen, 0)
+			c.Check(m.hosts[0].state.servers.roster.LeavingToAnnounce(m.now), qt.HasLen, 0)
 			m.run(100 * time.Second)
 			c.Check(server.received > before, qt.IsTrue) // the record as leaving has expired
 		})
