--- a/decision/claims.go
+++ b/decision/claims.go
@@ -50,7 +50,8 @@
 
 // requestClaim is a request's claim on its idempotency key.
 type requestClaim struct {
-	claimID          uint64 // of the current claim; 0: none
+	claimID          uint64          // of the current claim; 0: none
+	claimAccount     model.AccountID // that the claim is for; the request's key may move to another
 	claimedAt        model.Instant
 	searchDeadline   model.Instant // end of the search for an owner that answers
 	keySlot          model.SlotID
@@ -109,7 +110,8 @@
 // previous claim, if any, is abandoned.
 func (s *State) startClaim(r *request) step {
 	s.abandonClaim(r)
-	slot, ok := idempotency.SlotOf(r.account, r.IdempotencyKey, s.snapshot.Slots())
+	r.claimAccount = r.account
+	slot, ok := idempotency.SlotOf(r.claimAccount, r.IdempotencyKey, s.snapshot.Slots())
 	if !ok {
 		s.refuse(r, model.ReasonIdempotencyOwner, 0)
 		return stepDone
@@ -136,7 +138,7 @@
 	s.send(owner.ID, message.Claim{
 		Ask:         r.claimID,
 		Slot:        r.keySlot,
-		Account:     r.account,
+		Account:     r.claimAccount,
 		Key:         r.IdempotencyKey,
 		Fingerprint: r.Fingerprint,
 		Timeout:     r.deadline.Sub(s.now),
@@ -147,7 +149,7 @@
 func (s *State) newClaim(r *request) idempotency.Claim {
 	return idempotency.Claim{
 		Slot:        r.keySlot,
-		Account:     r.account,
+		Account:     r.claimAccount,
 		Key:         r.IdempotencyKey,
 		Fingerprint: r.Fingerprint,
 		Holder:      idempotency.Holder{Host: s.self, Ask: r.claimID},
@@ -293,7 +295,7 @@
 	s.claims.unackedEnds[r.claimID] = &unackedClaimEnd{message: message.ClaimEnd{
 		Ask:     r.claimID,
 		Slot:    r.keySlot,
-		Account: r.account,
+		Account: r.claimAccount,
 		Key:     r.IdempotencyKey,
 		Verdict: verdict,
 		Answer:  answer,
--- a/decision/model/refusal.go
+++ b/decision/model/refusal.go
@@ -59,6 +59,7 @@
 	NoRetryBudget      NoRetry = "retry_budget" // the service's retry budget is spent
 	NoRetryTime        NoRetry = "time"         // too little is left until the deadline
 	NoRetryCallerLeft  NoRetry = "caller_left"  // nobody waits for the answer
+	NoRetryKey         NoRetry = "key"          // the request's key is no longer accepted
 	NoRetryResult      NoRetry = "result"       // another server would give the same
 )
 
--- a/decision/request.go
+++ b/decision/request.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"cmp"
 	"time"
 
 	"pollensail.dev/decision/configuration"
@@ -36,6 +37,7 @@
 	// verdict summarizes all attempts: NotRun until one may have run.
 	verdict      model.Verdict
 	attempts     int
+	lastFailure  model.Reason     // why the last ended attempt has not answered the request
 	server       model.ServerID   // of the running attempt
 	triedServers []model.ServerID // servers of ended attempts
 	result       model.Result
@@ -108,42 +110,42 @@
 	if route.NeedsIdempotencyKey && !route.Idempotent && r.IdempotencyKey == "" {
 		return model.ReasonIdempotencyMissing
 	}
-	return s.authorize(r)
+	account, reason := s.authorize(r)
+	r.account = account
+	return reason
 }
 
-// authorize checks the request's API key against the active snapshot. It runs
-// again before each forward, because a key may be revoked in between.
-func (s *State) authorize(r *request) model.Reason {
+// authorize checks the request's API key against the active snapshot and returns the
+// account that has it, empty on an open route, or the reason to refuse the request.
+// It runs again before each forward, because a key may be revoked or moved to
+// another account in between.
+func (s *State) authorize(r *request) (model.AccountID, model.Reason) {
 	// Where key revocation is bounded, the check below needs a recent
 	// confirmation for each key, so an open route does not depend on the store.
 	needsStore := !r.route.Open || s.snapshot.KeyRevocationDelay <= 0
 	if needsStore && (s.isIsolated() || s.isConfigBehind()) {
-		return model.ReasonIsolated
+		return "", model.ReasonIsolated
 	}
 	if r.route.Open {
-		return ""
+		return "", ""
 	}
 	if s.now >= s.keysValidUntil() {
-		return model.ReasonKeysUnconfirmed
+		return "", model.ReasonKeysUnconfirmed
 	}
 	if !r.HasKey {
-		return model.ReasonKeyMissing
+		return "", model.ReasonKeyMissing
 	}
 	account, ok := s.snapshot.AccountOf(r.Key)
 	if !ok {
-		return s.reasonIfCurrent(model.ReasonKeyUnknown)
-	}
-	if r.account != "" && r.account != account.ID {
-		return model.ReasonKeyUnknown
+		return "", s.reasonIfCurrent(model.ReasonKeyUnknown)
 	}
 	if account.Unusable {
-		return model.ReasonUnusable
+		return "", model.ReasonUnusable
 	}
 	if !account.Allows(r.route) {
-		return s.reasonIfCurrent(model.ReasonAccountRoute)
+		return "", s.reasonIfCurrent(model.ReasonAccountRoute)
 	}
-	r.account = account.ID
-	return ""
+	return account.ID, ""
 }
 
 // reasonIfCurrent returns the reason if the active configuration is the newest
@@ -187,11 +189,17 @@
 }
 
 func (s *State) forward(r *request) {
-	if reason := s.authorize(r); reason != "" {
-		s.refuse(r, reason, 0)
+	account, reason := s.authorize(r)
+	switch {
+	case reason != "":
+		s.refuseForward(r, reason)
 		return
-	}
-	if !s.ensureToken(r) {
+	case account != r.account && r.attempts == 0:
+		s.restartFor(r, account)
+		return
+	case account != r.account:
+		r.account = account // like any retry, this one takes no further token
+	case !s.ensureToken(r):
 		return
 	}
 	r.attempts++
@@ -211,6 +219,30 @@
 	})
 }
 
+// refuseForward refuses a request whose key is no longer accepted. A request that
+// was sent before ends with the failure of its last attempt: its key was valid, and
+// its caller may repeat it.
+func (s *State) refuseForward(r *request, reason model.Reason) {
+	if r.attempts > 0 {
+		r.noRetry = model.NoRetryKey
+		reason = r.lastFailure
+	}
+	s.refuse(r, reason, 0)
+}
+
+// restartFor starts a request again that was not sent yet, for the account to which
+// its key was moved meanwhile.
+func (s *State) restartFor(r *request, account model.AccountID) {
+	s.releaseAdmission(r)
+	s.releasePlacement(r)
+	s.endClaim(r, nil)
+	r.notAfter = model.Never
+	r.isReadmitted = false
+	r.account = account
+	r.stage = stageAdmit
+	s.advance(r)
+}
+
 // authorizedUntil returns the instant after which the request's API key needs
 // a new confirmation.
 func (s *State) authorizedUntil(r *request) model.Instant {
@@ -238,6 +270,7 @@
 	if e.Result.Verdict != model.NotRun {
 		r.verdict = e.Result.Verdict
 	}
+	r.lastFailure = cmp.Or(attemptReason(e.Result), model.ReasonServerFailed)
 	if reachedServer(e.Result) {
 		r.notAfter = model.Never // the token was used before it expired
 	}
@@ -291,11 +324,18 @@
 		return model.NoRetryTime
 	case r.callerLeft:
 		return model.NoRetryCallerLeft
+	case !s.isAuthorized(r):
+		return model.NoRetryKey
 	default:
 		return ""
 	}
 }
 
+func (s *State) isAuthorized(r *request) bool {
+	_, reason := s.authorize(r)
+	return reason == ""
+}
+
 func attemptReason(result model.AttemptResult) model.Reason {
 	if result.Shed {
 		return model.ReasonOverloaded
--- a/decision/servers_late.go
+++ b/decision/servers_late.go
@@ -97,6 +97,8 @@
 		r.noRetry = model.NoRetryMayHaveRun
 	case r.callerLeft:
 		r.noRetry = model.NoRetryCallerLeft
+	case !s.isAuthorized(r):
+		r.noRetry = model.NoRetryKey
 	case r.attempts-r.unsentAttempts >= r.maxAttempts():
 		r.noRetry = model.NoRetryMaxAttempts
 	case s.now.Add(pool.MeanAnswerTime(r.route.Class)) >= r.deadline:
--- a/decision/servers_late_test.go
+++ b/decision/servers_late_test.go
@@ -191,7 +191,7 @@
 
 // TestLateRequestIsSentAgain guards against an idempotent request that waits for a
 // silent server until its deadline, and against a second attempt where it is not
-// allowed or does not help.
+// allowed or does not help: the first one must not be cancelled for it.
 func TestLateRequestIsSentAgain(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -204,6 +204,11 @@
 		{"may run once", false, func(*lateAttempt) {}, false, model.NoRetryMayHaveRun},
 		{"caller left", true, func(a *lateAttempt) { a.requests[77].callerLeft = true }, false, model.NoRetryCallerLeft},
 		{"no time left", true, func(a *lateAttempt) { a.requests[77].deadline = a.now.Add(a.times.Retry + time.Millisecond) }, false, model.NoRetryTime},
+		{"key withdrawn", true, func(a *lateAttempt) {
+			keyed := *a.requests[77].route
+			keyed.Open = false
+			a.requests[77].route = &keyed
+		}, false, model.NoRetryKey},
 		{"last attempt", true, func(a *lateAttempt) { a.requests[77].attempts = defaultAttempts }, false, model.NoRetryMaxAttempts},
 		{"servers fully loaded", true, func(a *lateAttempt) {
 			for _, id := range a.servers.rankedServers[simService] {
