Close connections without a request in a planned stop

Cause: connections on which nothing was ever sent stayed open through the stop, up to the read timeout of 30 s. A request on one of them was passed on until the process was killed.

Change: the front end closes every connection that waits for a request, race-free against the reader (openconns.go); requests that arrive over 0.3 s after the listener begins to close are refused as not run. Why it works: after that no connection is left from which a request can be read and passed on.

--- a/decision/request.go
+++ b/decision/request.go
@@ -89,6 +89,9 @@
 // matchRequest finds the request's route and account. It returns the reason to
 // refuse the request, empty if there is none.
 func (s *State) matchRequest(r *request) model.Reason {
+	if s.now >= s.arrivalsUntil {
+		return model.ReasonStopping
+	}
 	if s.snapshot == nil {
 		return model.ReasonNotReady
 	}
--- a/decision/state.go
+++ b/decision/state.go
@@ -30,7 +30,8 @@
 	// startedAt is when the process started.
 	startedAt     model.Instant
 	stopping      bool
-	trafficClosed bool // the listener for callers is closed
+	arrivalsUntil model.Instant // when a planned stop begins to refuse requests; model.Never before
+	trafficClosed bool          // the listener for callers is closed
 
 	config  configState
 	limits  limitState
@@ -47,6 +48,7 @@
 	return &State{
 		timers:        schedule.New[timerKey](),
 		armedDeadline: model.Never,
+		arrivalsUntil: model.Never,
 		requests:      make(map[model.RequestID]*request),
 		refusals:      make(map[refusalKey]uint64),
 		config:        newConfigState(),
--- a/decision/stop.go
+++ b/decision/stop.go
@@ -26,10 +26,17 @@
 	s.timers.Set(timerKey{kind: timerStop}, s.now.Add(delay))
 }
 
-// onStopTimer closes the listener for callers after the balancer delay. Slots
-// are handed over while the last requests run: a process that is killed at the
-// end of its stop period would otherwise leave them without an owner.
+// closingArrivalTime is how long requests are served that arrive while the listener
+// for callers is being closed.
+const closingArrivalTime = 300 * time.Millisecond
+
+// onStopTimer closes the listener for callers after the balancer delay, and soon
+// refuses requests: one that is still being read may come too late to be answered
+// before the process is killed at the end of its stop period. Slots are handed over
+// while the last requests run: a process that is killed would otherwise leave them
+// without an owner.
 func (s *State) onStopTimer() {
+	s.arrivalsUntil = s.now.Add(closingArrivalTime)
 	s.emit(effect.CloseTraffic{})
 	s.handOverSlots()
 }
--- a/host/frontend/callerconn.go
+++ b/host/frontend/callerconn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 type listener struct {
 	net.Listener
 	writeTimeout time.Duration
+	open         *openConns
 }
 
 // Accept implements net.Listener.
@@ -24,12 +26,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, rawConn: socket.RawConn(c), writeTimeout: l.writeTimeout}, nil
+	caller := &callerConn{Conn: c, rawConn: socket.RawConn(c), writeTimeout: l.writeTimeout, open: l.open}
+	l.open.add(caller)
+	return caller, nil
 }
 
 // callerConn is a connection from a caller. It tracks whether a response was
-// written completely, which fasthttp does not report to the handler. Its fields
-// are used only by the goroutine that serves the connection.
+// written completely, which fasthttp does not report to the handler. Its fields but
+// phase are used only by the goroutine that serves the connection.
 type callerConn struct {
 	net.Conn
 	rawConn      syscall.RawConn
@@ -37,6 +41,17 @@
 	writeFailed  bool // a write failed, so that no later response can be complete
 	lingering    bool // the request may have unread bytes; see Close
 	delivery     *delivery
+	open         *openConns
+	phase        atomic.Uint32 // a connPhase
+}
+
+// Read implements net.Conn. The first byte of a request ends the wait for it.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.beginRequest() {
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // delivery is the progress of writing a response to the caller.
@@ -93,7 +108,14 @@
 		return
 	}
 	caller, ok := c.(*callerConn)
-	if !ok || caller.delivery == nil {
+	if !ok {
+		return
+	}
+	if state == fasthttp.StateClosed {
+		caller.open.remove(caller)
+	}
+	caller.endRequest()
+	if caller.delivery == nil {
 		return
 	}
 	d := caller.delivery
--- a/host/frontend/exchange.go
+++ b/host/frontend/exchange.go
@@ -90,6 +90,9 @@
 		verdict:  model.NotRun,
 		effects:  make(chan effect.Effect, effectQueueSize),
 	}
+	if caller, ok := ctx.Conn().(*callerConn); ok && !caller.beginRequest() {
+		return // a pipelined request on a connection that was closed
+	}
 	x.id, x.externalID = f.nextID()
 	if name := f.callerRequestID(&ctx.Request.Header); name != "" {
 		x.externalID = name
--- a/host/frontend/frontend.go
+++ b/host/frontend/frontend.go
@@ -83,6 +83,8 @@
 	stopping       atomic.Bool
 	rejectedUnread atomic.Uint64
 
+	open openConns
+
 	mu       sync.Mutex
 	requests map[model.RequestID]*exchange
 
@@ -136,7 +138,7 @@
 
 // Serve accepts connections of callers from a listener until Shutdown.
 func (f *Frontend) Serve(ln net.Listener) error {
-	return f.server.Serve(listener{socket.LimitListener(ln, f.options.MaxConnections), f.options.WriteTimeout})
+	return f.server.Serve(listener{socket.LimitListener(ln, f.options.MaxConnections), f.options.WriteTimeout, &f.open})
 }
 
 // DisableKeepAlives disables keep-alive: each connection closes after its next
@@ -147,16 +149,35 @@
 // effects. It refuses the requests that wait for one.
 func (f *Frontend) RefusePending() { f.loopEndedOnce.Do(func() { close(f.loopEnded) }) }
 
-// Shutdown closes the listener and the idle connections and waits for the
-// requests in flight to complete. If ctx ends first, it refuses those that wait
-// for an effect and returns the error of ctx.
+// closeWaitingInterval is the time between closing the connections that wait for a
+// request during Shutdown. fasthttp closes those that it holds to be idle, among
+// them one whose next request has just begun, so Shutdown starts it that much after
+// the waiting ones are closed.
+const closeWaitingInterval = 100 * time.Millisecond
+
+// Shutdown closes the listener and the connections that wait for a request, also
+// those that never had one, and waits for the requests in flight to complete. If
+// ctx ends first, it refuses those that wait for an effect and returns the error of
+// ctx.
 func (f *Frontend) Shutdown(ctx context.Context) error {
 	f.DisableKeepAlives()
-	err := f.server.ShutdownWithContext(ctx)
-	if err != nil {
-		f.RefusePending()
+	f.open.closeWaiting()
+	ticker := time.NewTicker(closeWaitingInterval)
+	defer ticker.Stop()
+	<-ticker.C
+	ended := make(chan error, 1)
+	go func() { ended <- f.server.ShutdownWithContext(ctx) }()
+	for {
+		select {
+		case <-ticker.C:
+			f.open.closeWaiting()
+		case err := <-ended:
+			if err != nil {
+				f.RefusePending()
+			}
+			return err
+		}
 	}
-	return err
 }
 
 // RejectedUnread returns the number of requests that were refused before the
--- /dev/null
+++ b/host/frontend/openconns.go
@@ -0,0 +1,60 @@
+package frontend
+
+import "sync"
+
+// connPhase says whether a connection waits for a request. Whoever changes the
+// phase of a waiting connection decides whether its next request is served or the
+// connection is closed, so that a planned stop closes no connection from which a
+// request was read.
+type connPhase = uint32
+
+const (
+	connWaiting connPhase = iota // no byte of the next request was read
+	connBusy                     // a request is being read or answered
+	connClosed                   // closed by closeWaiting
+)
+
+// beginRequest reports false if the connection was closed while it waited. It may
+// be called several times for a request.
+func (c *callerConn) beginRequest() bool {
+	return c.phase.CompareAndSwap(connWaiting, connBusy) || c.phase.Load() == connBusy
+}
+
+func (c *callerConn) endRequest() { c.phase.CompareAndSwap(connBusy, connWaiting) }
+
+// closeIfWaiting closes a connection that waits for a request.
+func (c *callerConn) closeIfWaiting() {
+	if c.phase.CompareAndSwap(connWaiting, connClosed) {
+		_ = c.Conn.Close() // the goroutine that reads notices it
+	}
+}
+
+// openConns is the set of open connections. The zero value is empty.
+type openConns struct {
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+}
+
+func (o *openConns) add(c *callerConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.conns == nil {
+		o.conns = make(map[*callerConn]struct{})
+	}
+	o.conns[c] = struct{}{}
+}
+
+func (o *openConns) remove(c *callerConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, c)
+}
+
+// closeWaiting closes the connections that wait for a request.
+func (o *openConns) closeWaiting() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.conns {
+		c.closeIfWaiting()
+	}
+}
