--- a/host/cmd/pollensail/main.go
+++ b/host/cmd/pollensail/main.go
@@ -44,8 +44,9 @@
 		Short: "Serve callers as an entry host of the fleet",
 		Long: `Serves callers as configured by the operators' tree of settings until SIGTERM or
 SIGINT, which begins a planned stop: requests in flight are completed and slots
-are handed over. A second signal ends the process at once. SIGHUP reloads the
-settings file; the log shows which changes need a restart.`,
+are handed over. Another SIGTERM changes nothing; SIGINT during the stop ends the
+process at once. SIGHUP reloads the settings file; the log shows which changes need
+a restart.`,
 		Example:      `  pollensail --settings host-a1.toml`,
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
@@ -108,7 +109,8 @@
 }
 
 // shutdownContexts returns two contexts for a two-stage shutdown: stop ends at
-// the first SIGTERM or SIGINT, ctx at the second.
+// the first SIGTERM or SIGINT, ctx at a SIGINT after that. Further SIGTERMs change
+// nothing, because supervisors may repeat them and a planned stop cuts no request.
 func shutdownContexts() (ctx, stop context.Context) {
 	ctx, cancel := context.WithCancel(context.Background())
 	stop, beginStop := context.WithCancel(ctx)
@@ -117,8 +119,11 @@
 	go func() {
 		<-received
 		beginStop()
-		<-received
-		cancel()
+		for signal := range received {
+			if signal == os.Interrupt {
+				cancel()
+			}
+		}
 	}()
 	return ctx, stop
 }
--- a/host/cmd/pollensail/main_test.go
+++ b/host/cmd/pollensail/main_test.go
@@ -61,16 +61,23 @@
 stop = {balancer_delay = "1h"}
 `
 
-// TestSecondSignal guards against a second signal that does not end the process
-// while its planned stop is waiting, and against an exit code that hides that the
-// stop was incomplete. The store is unreachable, and the log must show it.
+// TestSecondSignal guards against a second SIGTERM that cuts off the requests of a
+// planned stop, against a SIGINT that does not end the process while its planned
+// stop is waiting, and against an exit code that hides that the stop was incomplete.
+// The store is unreachable, and the log must show it.
 func TestSecondSignal(t *testing.T) {
 	c := qt.New(t)
 	cmd, lines := start(c, validSettings)
 	awaitLine(c, lines, "connection refused\",\"message\":\"host list cannot be read")
 	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	awaitLine(c, lines, "planned stop begins")
-	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	for range 3 {
+		c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Assert(cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	awaitLine(c, lines, "settings reloaded")
+	c.Assert(cmd.Process.Signal(syscall.SIGINT), qt.IsNil)
 	awaitLine(c, lines, "ended before the planned stop was complete")
 	_ = cmd.Wait() // the exit code is checked
 	c.Assert(cmd.ProcessState.ExitCode(), qt.Equals, 1)
