--- a/decision/confirmation_test.go
+++ b/decision/confirmation_test.go
@@ -61,8 +61,13 @@
 // refusal sends a request and returns the reason why it is refused, empty if
 // it is forwarded.
 func (h strictHost) refusal(d time.Duration, path string, key model.KeyHash) model.Reason {
+	return h.refusalOf(d, event.RequestArrived{Method: "GET", Path: path, HasKey: true, Key: key})
+}
+
+func (h strictHost) refusalOf(d time.Duration, arrived event.RequestArrived) model.Reason {
 	request := model.RequestID(1000 + d.Milliseconds())
-	effects := h.at(d, event.RequestArrived{Request: request, Method: "GET", Path: path, HasKey: true, Key: key})
+	arrived.Request = request
+	effects := h.at(d, arrived)
 	for _, f := range effects {
 		if refuse, ok := f.(effect.Refuse); ok && refuse.Request == request {
 			return refuse.Reason
@@ -128,6 +133,9 @@
 	h.confirm(10*time.Second, 10*time.Second, 4)
 	h.c.Check(h.refusal(11*time.Second, "/none", strictKey), qt.Equals, model.ReasonNoRoute)
 	h.c.Check(h.refusal(11*time.Second, "/keyed", model.KeyHash{8}), qt.Equals, model.ReasonKeyUnknown)
+	noKey := event.RequestArrived{Method: "GET", Path: "/keyed"}
+	h.c.Check(h.refusalOf(11*time.Second, noKey), qt.Equals, model.ReasonKeyMissing)
+	h.c.Check(h.refusalOf(14200*time.Millisecond, noKey), qt.Equals, model.ReasonNotReady)
 	h.c.Check(h.refusal(14200*time.Millisecond, "/none", strictKey), qt.Equals, model.ReasonNotReady)
 	h.c.Check(h.refusal(14200*time.Millisecond, "/keyed", model.KeyHash{8}), qt.Equals, model.ReasonNotReady)
 }
--- a/decision/request.go
+++ b/decision/request.go
@@ -136,7 +136,7 @@
 		return "", model.ReasonKeysUnconfirmed
 	}
 	if !r.HasKey {
-		return "", model.ReasonKeyMissing
+		return "", s.reasonIfCurrent(model.ReasonKeyMissing)
 	}
 	account, ok := s.snapshot.AccountOf(r.Key)
 	if !ok {
