Look at a late attempt again whose key could not be confirmed

Cause: since the check of the key before a late attempt is cancelled, a confirmation that is missing for a moment ended the wait for a second attempt for good. Change: such an attempt is looked at again every 250 ms, as with a spent retry budget.

--- a/decision/servers_late.go
+++ b/decision/servers_late.go
@@ -13,7 +13,8 @@
 const maxTimerDelay = 150 * time.Millisecond
 
 // latePollInterval is the time until a late attempt is looked at again, where the
-// retry budget was spent or most servers were fully loaded.
+// retry budget was spent, the request's key could not be confirmed, or most servers
+// were fully loaded.
 const latePollInterval = 250 * time.Millisecond
 
 // recordAnswerTime records how long the server of an answered attempt took.
@@ -78,7 +79,7 @@
 	case !isDue:
 		s.setLateTimer(r, r.retryAt)
 	case !s.takeRetryOfLate(r, pool):
-		if r.noRetry == model.NoRetryBudget {
+		if r.noRetry == model.NoRetryBudget || r.noRetry == model.NoRetryKey {
 			s.setLateTimer(r, s.now.Add(latePollInterval))
 		}
 	default:
