--- a/decision/request_key_test.go
+++ b/decision/request_key_test.go
@@ -68,11 +68,9 @@
 	}
 }
 
-// TestKeyMovesWhileRequestWaits guards against a request that is answered 401, or
-// runs for the account that no longer has its key, because the key moved to another
-// account while the request waited for a server.
-func TestKeyMovesWhileRequestWaits(t *testing.T) {
-	h := newKeyedHost(qt.New(t))
+// sendWithOneWaiting sends requests 7 and 8 while one may run at a time, and returns
+// the forward of 7. Request 8 waits for it.
+func (h strictHost) sendWithOneWaiting() effect.Forward {
 	service := *h.state.snapshot.Services[simService]
 	service.Concurrency = 1
 	h.state.snapshot.Services[simService] = &service
@@ -80,6 +78,15 @@
 	first := find[effect.Forward](h.c, h.send(11*time.Second, 7))
 	h.send(11*time.Second, 8)
 	h.c.Assert(h.state.requests[8].isQueued, qt.IsTrue)
+	return first
+}
+
+// TestKeyMovesWhileRequestWaits guards against a request that is answered 401, or
+// runs for the account that no longer has its key, because the key moved to another
+// account while the request waited for a server.
+func TestKeyMovesWhileRequestWaits(t *testing.T) {
+	h := newKeyedHost(qt.New(t))
+	first := h.sendWithOneWaiting()
 	h.giveKeyTo("b")
 	ran := model.AttemptResult{Verdict: model.Ran, Status: 200}
 	effects := h.at(11100*time.Millisecond, event.AttemptEnded{Request: 7, Server: first.Server, Result: ran})
@@ -92,12 +99,7 @@
 // is sent to a server after it has waited.
 func TestWithdrawnKeyWhileRequestWaits(t *testing.T) {
 	h := newKeyedHost(qt.New(t))
-	service := *h.state.snapshot.Services[simService]
-	service.Concurrency = 1
-	h.state.snapshot.Services[simService] = &service
-	h.state.applyServerConfig()
-	first := find[effect.Forward](h.c, h.send(11*time.Second, 7))
-	h.send(11*time.Second, 8)
+	first := h.sendWithOneWaiting()
 	h.giveKeyTo("")
 	ran := model.AttemptResult{Verdict: model.Ran, Status: 200}
 	effects := h.at(11100*time.Millisecond, event.AttemptEnded{Request: 7, Server: first.Server, Result: ran})
