--- a/host/backend/receive.go
+++ b/host/backend/receive.go
@@ -83,16 +83,15 @@
 	return nil
 }
 
-// readHeader reads one response header. It fails if the framing of the message
-// is ambiguous, or if the parser finds another end of the header than
-// peekHeader.
+// readHeader reads one response header. It fails if the header is malformed or the
+// framing of the message is ambiguous, or if the library finds another end of the
+// header than peekHeader.
 func (c *conn) readHeader(h *fasthttp.ResponseHeader) error {
 	block, err := c.peekHeader()
 	if err != nil {
 		return err
 	}
-	_, lines, _ := bytes.Cut(block, []byte{'\n'})
-	if err := wire.CheckFraming(lines); err != nil {
+	if err := wire.CheckResponseHead(block); err != nil {
 		return err
 	}
 	rest := c.reader.Buffered() - len(block)
@@ -184,34 +183,44 @@
 // and streams the rest of a larger one. A body with a larger Content-Length, or one
 // that there is no memory for, is streamed from its start.
 func (e *exchange) readLargeBody(response *Response, length int) error {
+	if length == lengthChunked {
+		return e.readChunkedBody(response)
+	}
 	r := &response.Response
 	r.StreamBody = true
 	if err := r.ReadBody(e.conn.reader, 0); err != nil {
 		return err
 	}
-	var prefix []byte
-	if length == lengthChunked {
-		var isWhole bool
-		var err error
-		if prefix, isWhole, err = e.readPrefix(response); err != nil {
-			return err
-		}
-		if isWhole {
-			if err := r.CloseBodyStream(); err != nil {
-				return err
-			}
-			r.SetBodyRaw(prefix)
-			return nil
-		}
+	e.startStream(response, r.BodyStream(), nil, length)
+	return nil
+}
+
+// readChunkedBody reads a chunked body completely, or prepares to stream what follows
+// the part that fits into memory.
+func (e *exchange) readChunkedBody(response *Response) error {
+	source := wire.NewChunkedReader(e.conn.reader)
+	prefix, isWhole, err := e.readPrefix(response, source)
+	switch {
+	case err != nil:
+		return err
+	case isWhole:
+		response.Response.SetBodyRaw(prefix)
+	default:
+		e.startStream(response, source, prefix, lengthChunked)
 	}
+	return nil
+}
+
+// startStream makes a response stream the body that source returns after prefix.
+func (e *exchange) startStream(response *Response, source io.Reader, prefix []byte, size int) {
 	response.stream = &stream{
 		transport: e.transport,
 		conn:      e.conn,
-		response:  r,
+		response:  &response.Response,
+		source:    source,
 		prefix:    prefix,
-		size:      length,
+		size:      size,
 	}
-	return nil
 }
 
 // firstPrefix is the size in bytes for which a chunked body reserves memory at first. The
@@ -221,8 +230,7 @@
 
 // readPrefix reads a chunked body up to MaxBufferedBody bytes, or up to what there is
 // memory for. It reports whether that is the whole body.
-func (e *exchange) readPrefix(response *Response) (prefix []byte, isWhole bool, err error) {
-	source := response.Response.BodyStream()
+func (e *exchange) readPrefix(response *Response, source io.Reader) (prefix []byte, isWhole bool, err error) {
 	for limit := firstPrefix; limit <= MaxBufferedBody && e.grow(response, limit); limit *= 2 {
 		more, err := io.ReadAll(io.LimitReader(source, int64(limit-len(prefix))))
 		prefix = append(prefix, more...)
--- a/host/backend/response.go
+++ b/host/backend/response.go
@@ -49,9 +49,10 @@
 	transport *Transport
 	conn      *conn
 	response  *fasthttp.Response
-	prefix    []byte // start of the body that is already read
-	size      int    // of the whole body, in bytes; -1: unknown
-	sawEOF    bool   // the whole body was read
+	source    io.Reader // of what follows prefix
+	prefix    []byte    // start of the body that is already read
+	size      int       // of the whole body, in bytes; -1: unknown
+	sawEOF    bool      // the whole body was read
 }
 
 // Read implements io.Reader.
@@ -64,7 +65,7 @@
 	if s.sawEOF {
 		return 0, io.EOF
 	}
-	n, err := s.response.BodyStream().Read(p)
+	n, err := s.source.Read(p)
 	s.sawEOF = err == io.EOF
 	return n, err
 }
--- a/host/frontend/body.go
+++ b/host/frontend/body.go
@@ -10,6 +10,7 @@
 	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/event"
 	"pollensail.dev/decision/model"
+	"pollensail.dev/host/wire"
 )
 
 const (
@@ -106,8 +107,10 @@
 		switch {
 		case x.body.size > limit:
 			return fasthttp.ErrBodyTooLarge
-		case x.body.size == announced, err == io.EOF && announced < 0:
+		case x.body.size == announced:
 			return nil
+		case err == io.EOF && announced < 0:
+			return x.checkTrailers()
 		case err == io.EOF:
 			return io.ErrUnexpectedEOF
 		case err != nil:
@@ -116,6 +119,20 @@
 	}
 }
 
+// errTrailer is returned for a chunked body with a trailer field whose name is malformed.
+var errTrailer = errors.New("malformed trailer field")
+
+// checkTrailers checks the names of the trailer fields, which are not forwarded. The
+// library accepts names with blanks.
+func (x *exchange) checkTrailers() error {
+	for _, name := range x.ctx.Request.Header.PeekTrailerKeys() {
+		if !wire.IsToken(name) {
+			return errTrailer
+		}
+	}
+	return nil
+}
+
 // readPart reads until the part is full, the body ends or an error occurs. It returns
 // what was read.
 func readPart(stream io.Reader, part []byte) ([]byte, error) {
--- a/host/frontend/request.go
+++ b/host/frontend/request.go
@@ -61,13 +61,13 @@
 	return arrived, t, key, nil
 }
 
-// checkProtocol refuses requests with ambiguous framing, which could lead to
-// request smuggling, and versions other than HTTP/1.1.
+// checkProtocol refuses requests with malformed fields or ambiguous framing, which
+// could lead to request smuggling, and versions other than HTTP/1.1.
 func checkProtocol(h *fasthttp.RequestHeader) *requestError {
 	if !h.IsHTTP11() {
 		return malformed("HTTP/1.1 is required")
 	}
-	if err := wire.CheckFraming(h.RawHeaders()); err != nil {
+	if err := wire.CheckRequestFields(h.RawHeaders()); err != nil {
 		return malformed(err.Error())
 	}
 	return nil
--- a/host/wire/framing.go
+++ b/host/wire/framing.go
@@ -13,39 +13,72 @@
 type framingFields struct {
 	lengths     int
 	encodings   int
-	unsupported int // encodings other than chunked
+	unsupported int  // encodings other than chunked, and lengths that are no number
+	isLast      bool // the last field is one of them
 }
 
-// CheckFraming checks the header lines of a message, without the start line. The
-// message may have one Content-Length or one "Transfer-Encoding: chunked", but not
-// both: otherwise the next recipient could compute another length (request
-// smuggling).
-func CheckFraming(lines []byte) error {
-	var f framingFields
-	for len(lines) > 0 {
-		line, rest, _ := bytes.Cut(lines, []byte{'\n'})
-		f.countLine(line)
-		lines = rest
-	}
+// check checks the fields of a whole message. It may have one Content-Length or one
+// "Transfer-Encoding: chunked", but not both: otherwise the next recipient could compute
+// another length (request smuggling).
+func (f *framingFields) check() error {
 	if f.lengths+f.encodings > 1 || f.unsupported > 0 {
 		return ErrFraming
 	}
 	return nil
 }
 
-func (f *framingFields) countLine(line []byte) {
-	name, value, ok := bytes.Cut(line, []byte{':'})
-	if !ok {
-		return
+// addLine checks a field line without its line end and counts the field.
+func (f *framingFields) addLine(line []byte) error {
+	name, value, err := splitFieldLine(line)
+	if err != nil {
+		return err
 	}
-	name = bytes.TrimSpace(name)
+	f.isLast = isFramingName(name)
 	switch {
-	case EqualFold(name, "Content-Length"):
+	case EqualFold(name, contentLength):
 		f.lengths++
-	case EqualFold(name, "Transfer-Encoding"):
+		if !isNumber(value) {
+			f.unsupported++
+		}
+	case EqualFold(name, transferEncoding):
 		f.encodings++
-		if !EqualFold(bytes.TrimSpace(value), "chunked") {
+		if !EqualFold(value, "chunked") {
 			f.unsupported++
 		}
 	}
+	return nil
+}
+
+// addFold checks a line that continues the field before it. It fails if that field
+// determines the length of the message, or if a recipient that does not know folded
+// lines could take the line for such a field.
+func (f *framingFields) addFold(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte{':'})
+	switch {
+	case !isFieldContent(line):
+		return ErrHead
+	case f.isLast || isFramingName(bytes.Trim(name, " \t")):
+		return ErrFraming
+	default:
+		return nil
+	}
+}
+
+const (
+	contentLength    = "Content-Length"
+	transferEncoding = "Transfer-Encoding"
+)
+
+func isFramingName(name []byte) bool {
+	return EqualFold(name, contentLength) || EqualFold(name, transferEncoding)
+}
+
+// isNumber reports whether text consists of digits only.
+func isNumber(text []byte) bool {
+	for _, b := range text {
+		if !isDigit(b) {
+			return false
+		}
+	}
+	return len(text) > 0
 }
