--- a/decision/config.go
+++ b/decision/config.go
@@ -151,13 +151,13 @@
 
 // IDs of timerConfig.
 const (
-	configTimerTick  uint64 = iota
-	configTimerLarge        // the shards of a large version are to be requested
+	configTimerTick   uint64 = iota
+	configTimerShards        // the shards of the target are to be requested
 )
 
 func (s *State) onConfigTimer(id uint64) {
-	if id == configTimerLarge {
-		s.onLargeFetchTimer()
+	if id == configTimerShards {
+		s.onShardTimer()
 		return
 	}
 	s.setConfigTimer()
--- a/decision/config_fleet_test.go
+++ b/decision/config_fleet_test.go
@@ -36,8 +36,9 @@
 	activeVersion map[model.HostRef]uint64
 	ready         map[model.HostRef]bool
 	rejected      int
-	reads         int // of shards in the store
-	rootReads     int // without watches
+	reads         int           // of shards in the store
+	rootReads     int           // without watches
+	callTimeout   time.Duration // after which a call fails that the store does not answer; 0: it is refused at once
 }
 
 // newTreeFleet returns a fleet that has not read the tree in the store yet.
@@ -153,6 +154,9 @@
 // answer posts the store's answer after a short delay.
 func (s *treeStore) answer(h *fleettest.Host, body func() event.Body) {
 	delay := time.Duration(1+s.rand.IntN(20)) * time.Millisecond
+	if s.fails(h) {
+		delay = max(delay, s.callTimeout)
+	}
 	s.fleet.After(delay, func() { h.Post(body()) })
 }
 
--- a/decision/configlarge.go
+++ b/decision/configlarge.go
@@ -1,11 +1,9 @@
 package decision
 
 import (
-	"slices"
 	"time"
 
 	"pollensail.dev/decision/configuration"
-	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
 )
@@ -35,18 +33,11 @@
 	largeReadTimeout = 1500 * time.Millisecond
 )
 
-// requestsPerStoreRetry is the number of requests for a large version of which one goes
-// to the store, where it did not answer, and the others to peers that have the version.
-const requestsPerStoreRetry = 4
-
 // largeFetch is how this host gets the shards of a large version that a peer offered.
 // The zero value stands for other versions.
 type largeFetch struct {
-	isLarge     bool
-	readsStore  bool           // the last request went to the store, or the first is to
-	storeFailed bool           // a read from the store failed
-	startAt     model.Instant  // valid with isLarge
-	holders     []model.HostID // peers that have the version
+	isLarge bool
+	startAt model.Instant // valid with isLarge
 }
 
 // planLargeFetch decides how to get the target's shards, if they are many and the store
@@ -60,14 +51,13 @@
 	reads := float64((len(c.peers) + 1) * missing)
 	window := time.Duration(reads / storeReadsPerSecond * float64(time.Second))
 	share := min(1, maxReadDelay.Seconds()/window.Seconds())
-	l := largeFetch{isLarge: true, readsStore: s.rand.Float64() < share}
+	c.target.readsStore = s.rand.Float64() < share
 	delay := time.Duration(s.rand.Int64N(int64(min(window, maxReadDelay))))
-	if !l.readsStore {
+	if !c.target.readsStore {
 		delay = maxReadDelay + delay/4
 	}
-	l.startAt = s.now.Add(delay)
-	c.target.large = l
-	s.timers.Set(timerKey{timerConfig, configTimerLarge}, l.startAt)
+	c.target.large = largeFetch{isLarge: true, startAt: s.now.Add(delay)}
+	s.setShardTimer(c.target.large.startAt)
 }
 
 // announceLargeVersion tells random peers of the target, if it is large.
@@ -90,19 +80,6 @@
 	}
 }
 
-// onLargeFetchTimer requests the shards of a large version, or repeats a request that
-// was not answered in time, unless a newer version has replaced it.
-func (s *State) onLargeFetchTimer() {
-	t := &s.config.target
-	switch {
-	case !t.large.isLarge:
-	case t.requestedAt < t.large.startAt:
-		s.fetchShards()
-	default:
-		s.retryShards()
-	}
-}
-
 // countMissingShards returns how many shards of the target are not cached.
 func (s *State) countMissingShards() int {
 	n := 0
@@ -122,51 +99,27 @@
 // requestTimeout returns when a request for shards counts as lost.
 func (t *configTarget) requestTimeout() time.Duration {
 	timeout := shardRequestTimeout * time.Duration(min(t.failedRequests+1, maxShardTimeoutFactor))
-	if t.large.isLarge && t.large.readsStore {
+	if t.large.isLarge && t.readsStore {
 		timeout = max(timeout, largeReadTimeout)
 	}
 	return timeout
 }
 
-// noteHolder records that a peer has the version that is being fetched. Where the store
-// failed, it is asked at once.
-func (s *State) noteHolder(peer model.HostID, version uint64) {
-	t := &s.config.target
-	if !t.large.isLarge || version != t.root.Version || slices.Contains(t.large.holders, peer) {
-		return
-	}
-	t.large.holders = append(t.large.holders, peer)
-	if t.large.storeFailed && len(t.large.holders) == 1 {
-		s.fetchShards()
-	}
-}
-
 // requestLargeShards requests shards of a large version from a random peer that has it,
 // or from the store if this host is to read it there or knows of no such peer. It reports
 // false for other versions, and while requests go unanswered.
 func (s *State) requestLargeShards(hashes []string) bool {
 	t := &s.config.target
-	l := &t.large
-	if !l.isLarge || t.failedRequests > 0 {
+	if !t.large.isLarge || t.failedRequests > 0 {
 		return false
 	}
-	l.readsStore = !l.storeFailed && (l.readsStore || len(l.holders) == 0)
-	s.timers.Set(timerKey{timerConfig, configTimerLarge}, s.now.Add(t.requestTimeout()))
+	t.readsStore = !t.storeFailed && (t.readsStore || len(t.holders) == 0)
+	s.setShardTimer(s.now.Add(t.requestTimeout()))
 	switch {
-	case l.readsStore:
-		s.emit(effect.ReadShards{Hashes: hashes})
-	case len(l.holders) > 0:
-		s.askForShards(l.holders[s.rand.IntN(len(l.holders))], hashes)
+	case t.readsStore:
+		s.readStoredShards(hashes)
+	case len(t.holders) > 0:
+		s.askForShards(t.holders[s.rand.IntN(len(t.holders))], hashes)
 	}
 	return true
 }
-
-// onFailedShardRead turns from the store to a peer at once where the store does not
-// answer.
-func (s *State) onFailedShardRead() {
-	l := &s.config.target.large
-	if l.readsStore && !l.storeFailed {
-		l.storeFailed, l.readsStore = true, false
-		s.fetchShards()
-	}
-}
--- a/decision/configlarge_test.go
+++ b/decision/configlarge_test.go
@@ -6,19 +6,38 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollensail.dev/decision/effect"
 	"pollensail.dev/decision/model"
 )
 
 // TestStoreIsAskedAgain guards against a host that never returns to the store, because
-// its first read of a large version failed and peers that have it do not answer.
+// its first read of a version failed and peers that have it do not answer.
 func TestStoreIsAskedAgain(t *testing.T) {
-	s := NewState()
-	s.config.target.from = "h1"
-	s.config.target.large = largeFetch{isLarge: true, storeFailed: true, holders: []model.HostID{"h2"}}
-	s.rand = rand.New(rand.NewPCG(1, 2))
-	asked := make(map[model.HostID]int)
-	for failed := range 2 * requestsPerStoreRetry {
-		asked[s.fallbackShardPeer(failed+1)]++
+	for _, isLarge := range []bool{true, false} {
+		s := NewState()
+		target := &s.config.target
+		target.from, target.storeFailed, target.holders = "h1", true, []model.HostID{"h2", "h3"}
+		target.large.isLarge = isLarge
+		s.rand = rand.New(rand.NewPCG(1, 2))
+		reads, asks := 0, 0
+		for failed := range 2 * requestsPerStoreRetry {
+			target.failedRequests = failed + 1
+			s.effects = nil
+			s.repeatShardRequest([]string{"hash"})
+			for _, e := range s.effects {
+				switch e.(type) {
+				case effect.ReadShards:
+					reads++
+				case effect.Send:
+					asks++
+				}
+			}
+		}
+		qt.Check(t, reads, qt.Equals, 2)
+		if isLarge {
+			qt.Check(t, asks, qt.Equals, 2*(requestsPerStoreRetry-1))
+		} else {
+			qt.Check(t, asks >= 2*requestsPerStoreRetry, qt.IsTrue)
+		}
 	}
-	qt.Check(t, asked, qt.DeepEquals, map[model.HostID]int{"": 2, "h2": 2 * (requestsPerStoreRetry - 1)})
 }
--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"slices"
 	"time"
 
@@ -42,8 +43,12 @@
 	// pending are the shards that are not compiled yet. Those of inner branches
 	// come first, because the others need them.
 	pending        []configuration.ShardRef
-	failedRequests int           // requests in a row without an answer
-	requestedAt    model.Instant // the last request
+	failedRequests int            // requests in a row without an answer
+	requestedAt    model.Instant  // the last request
+	holders        []model.HostID // peers that have the version
+	lastAsked      model.HostID   // the peer that got the last request to a peer
+	readsStore     bool           // the last request went to the store, or the first is to
+	storeFailed    bool           // a read from the store failed
 	large          largeFetch
 	isAnnounced    bool // peers were told of it because it is large
 }
@@ -156,49 +161,125 @@
 	return t.pending[:n]
 }
 
-// requestShards requests shards from the origin of the root, and after a
-// failure alternately from the store and random peers.
+// requestShards requests shards from the origin of the root. The request is repeated if
+// it is not answered in time.
 func (s *State) requestShards(hashes []string) {
 	t := &s.config.target
 	if s.requestLargeShards(hashes) {
 		return
 	}
-	peer := t.from
-	if t.failedRequests > 0 || peer == "" {
-		peer = s.fallbackShardPeer(t.failedRequests)
+	s.setShardTimer(s.now.Add(t.requestTimeout()))
+	t.readsStore = false
+	switch {
+	case t.failedRequests > 0:
+		s.repeatShardRequest(hashes)
+	case t.from == "":
+		s.readStoredShards(hashes)
+	default:
+		s.askForShards(t.from, hashes)
+	}
+}
+
+// shardRetryPeers is how many peers are asked at once after a failed request, unless the
+// version is large. A second lost request would make the version late.
+const shardRetryPeers = 2
+
+// repeatShardRequest requests shards after a failed request: from peers and, at its turn,
+// from the store. A large version is requested from one of them only.
+func (s *State) repeatShardRequest(hashes []string) {
+	t := &s.config.target
+	isStoreTurn := t.isStoreTurn(s.config.storeCallFailed)
+	n := shardRetryPeers
+	switch {
+	case t.large.isLarge && isStoreTurn:
+		n = 0
+	case t.large.isLarge:
+		n = 1
+	}
+	peers := s.retryPeers(n)
+	for _, peer := range peers {
+		s.askForShards(peer, hashes)
+	}
+	if isStoreTurn || len(peers) == 0 {
+		s.readStoredShards(hashes)
 	}
-	t.large.readsStore = peer == ""
-	if peer == "" {
-		s.emit(effect.ReadShards{Hashes: hashes})
+}
+
+// requestsPerStoreRetry is the number of requests for a version of which one goes to the
+// store, where it did not answer, and the others to peers that have the version.
+const requestsPerStoreRetry = 4
+
+// isStoreTurn reports whether the store is asked after failed requests: at every other
+// attempt, or once in requestsPerStoreRetry where it turns this host away and peers are
+// known to have the version.
+func (t *configTarget) isStoreTurn(storeCallFailed bool) bool {
+	if len(t.holders) > 0 && (t.storeFailed || storeCallFailed) {
+		return t.failedRequests%requestsPerStoreRetry == requestsPerStoreRetry-1
+	}
+	isStoreFirst := t.from == ""
+	return (t.failedRequests%2 == 0) == isStoreFirst
+}
+
+// retryPeers returns up to n peers to ask after a failed request: those that have the
+// version, or else random ones. The peer that was asked last may be gone.
+func (s *State) retryPeers(n int) []model.HostID {
+	t := &s.config.target
+	isSilent := func(peer model.HostID) bool { return peer == t.lastAsked }
+	peers := slices.DeleteFunc(slices.Clone(t.holders), isSilent)
+	if len(peers) == 0 {
+		peers = slices.DeleteFunc(s.randomPeers(n+1), isSilent)
+	}
+	s.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
+
+func (s *State) readStoredShards(hashes []string) {
+	s.config.target.readsStore = true
+	s.emit(effect.ReadShards{Hashes: hashes})
+}
+
+// setShardTimer sets when the shards of the target are requested, for the first time or
+// again. The timer replaces an earlier one.
+func (s *State) setShardTimer(at model.Instant) {
+	s.timers.Set(timerKey{timerConfig, configTimerShards}, at)
+}
+
+// onShardTimer requests the shards of a large version, or repeats a request that was not
+// answered in time.
+func (s *State) onShardTimer() {
+	t := &s.config.target
+	if t.requestedAt < t.large.startAt {
+		s.fetchShards()
 		return
 	}
-	s.askForShards(peer, hashes)
+	s.retryShards()
 }
 
 func (s *State) askForShards(peer model.HostID, hashes []string) {
+	s.config.target.lastAsked = peer
 	s.send(peer, message.ShardAsk{Hashes: hashes})
 }
 
-// fallbackShardPeer returns the peer to ask after failed requests, empty for the store:
-// at every other attempt, or once in requestsPerStoreRetry where the store failed and
-// peers are known to have the version.
-func (s *State) fallbackShardPeer(failedRequests int) model.HostID {
-	isStoreFirst := s.config.target.from == ""
-	isStoreTurn := (failedRequests%2 == 0) == isStoreFirst
-	peers := s.randomPeers(1)
-	large := &s.config.target.large
-	if large.storeFailed && len(large.holders) > 0 {
-		isStoreTurn = failedRequests%requestsPerStoreRetry == requestsPerStoreRetry-1
+// noteHolder records that a peer has the version that is being fetched. Where the store
+// failed, it is asked at once.
+func (s *State) noteHolder(peer model.HostID, version uint64) {
+	t := &s.config.target
+	if t.compiler == nil || version != t.root.Version || slices.Contains(t.holders, peer) {
+		return
 	}
-	switch {
-	case isStoreTurn:
-		return ""
-	case len(large.holders) > 0:
-		return large.holders[s.rand.IntN(len(large.holders))]
-	case len(peers) == 0:
-		return ""
-	default:
-		return peers[0]
+	t.holders = append(t.holders, peer)
+	if t.storeFailed && len(t.holders) == 1 {
+		s.fetchShards()
+	}
+}
+
+// onFailedShardRead turns from the store to a peer at once where the store does not
+// answer.
+func (s *State) onFailedShardRead() {
+	t := &s.config.target
+	if t.readsStore && !t.storeFailed {
+		t.storeFailed, t.readsStore = true, false
+		s.fetchShards()
 	}
 }
 
@@ -210,6 +291,7 @@
 		return
 	}
 	t.failedRequests++
+	s.noteVersionDelayed()
 	if s.config.nextRoot.root.Version > t.root.Version {
 		failedRequests := t.failedRequests
 		s.config.target = configTarget{}
@@ -219,6 +301,17 @@
 	s.fetchShards()
 }
 
+// noteVersionDelayed reports that the last request for shards was not answered in time.
+func (s *State) noteVersionDelayed() {
+	t := &s.config.target
+	asked := "the store"
+	if !t.readsStore {
+		asked = string(t.lastAsked)
+	}
+	s.emitNotice(effect.NoticeVersionDelayed, fmt.Sprintf("version %d: request %d, to %s, not answered in %v; %d shards missing, %d peers have the version",
+		t.root.Version, t.failedRequests, asked, s.now.Sub(t.requestedAt), len(t.pending), len(t.holders)))
+}
+
 func (s *State) onShardsRead(e event.ShardsRead) {
 	pending := len(s.config.target.pending)
 	s.addShards(e.Shards)
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -175,6 +175,9 @@
 	NoticeAllCold        NoticeKind = "service_cold"
 	NoticeNotCold        NoticeKind = "service_not_cold"
 	NoticeVersion        NoticeKind = "configuration_in_force"
+	// NoticeVersionDelayed says that a request for the content of a version was not
+	// answered in time.
+	NoticeVersionDelayed NoticeKind = "configuration_delayed"
 	NoticeList           NoticeKind = "host_list_source"
 	NoticeBadMessage     NoticeKind = "bad_peer_message"
 	// NoticeVersionRejected: a version in the store is invalid; the previous
--- a/decision/servers_sim_test.go
+++ b/decision/servers_sim_test.go
@@ -89,6 +89,8 @@
 	resets      func() bool                                 // breaks the connection of a request at once
 	swallows    func() bool                                 // never answers a request
 	isDraining  bool
+	unreachable func(host *simHost) bool // the host cannot connect to it
+	onArrival   func()                   // is called for each request that reaches it
 	// refuses returns whether the server refuses a request, and for how long it
 	// wants no more of its sender.
 	refuses  func(host *simHost) (wait time.Duration, ok bool)
@@ -304,7 +306,14 @@
 func (s *simServer) arrive(a *simAttempt) {
 	m := a.host.sim
 	a.started = m.now
+	if s.unreachable != nil && s.unreachable(a.host) {
+		s.end(a, model.AttemptResult{Verdict: model.NotRun, Reason: model.ReasonServerFailed})
+		return
+	}
 	s.received++
+	if s.onArrival != nil {
+		s.onArrival()
+	}
 	m.at(a.forward.Deadline.Sub(m.now), func() {
 		s.end(a, model.AttemptResult{Reason: model.ReasonTimedOut})
 	})
