--- a/decision/placement/probe.go
+++ b/decision/placement/probe.go
@@ -9,8 +9,9 @@
 // A probe is an ordinary request that is sent to a suspected server, to find
 // out whether it has recovered.
 const (
-	// probeDelay is the time after a failure of a server until it may be probed.
-	probeDelay = 1500 * time.Millisecond
+	// probeDelay is the time after a failure of a server until it may be probed. A sound
+	// server has failures too, and is to get a request in each two seconds.
+	probeDelay = time.Second
 	// probeRate is how many probes a second all hosts together send a server that
 	// is to be probed, until the first result is known, and shortageProbeRate in a
 	// shortage. More of them would be lost at a server that does not answer.
--- a/decision/placement/suspicion.go
+++ b/decision/placement/suspicion.go
@@ -117,8 +117,9 @@
 	singleRunExponent  = 20
 	// suspicionThreshold is the probability below which a server counts as
 	// suspected, so that a successful attempt at it is worth sharing with other
-	// hosts.
-	suspicionThreshold = 0.9
+	// hosts. A server at this probability gets two thirds of its share of the requests
+	// that may run only once.
+	suspicionThreshold = 0.93
 )
 
 // isSuspected reports whether the server counts as failing, whatever the state
