--- a/decision/placement/floor.go
+++ b/decision/placement/floor.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	// floorReserve divides the servers that the floor allows to be unused: one part
-	// of them may be. The others make up for sound servers that are taken for
-	// failing ones, for those in use that get few requests, and for servers that are
-	// disturbed in a way that this host does not see: the floor has to hold for the
-	// others too.
+	// floorReserve divides the servers that the floor allows to be unused in a
+	// shortage: one part of them may be, the others make up for sound servers that are
+	// taken for failing ones, and for those in use that get few requests.
 	floorReserve = 4
+	// unusedMargin is how many servers fewer than the floor allows may be unused
+	// without a shortage: servers are whole, their expected number is not.
+	unusedMargin = 0.75
 	// floorUpdateInterval bounds how often the servers are ranked for the floor.
 	floorUpdateInterval = 100 * time.Millisecond
 	// recentSignalAge is how long a suspected server counts as in use after a
@@ -22,16 +23,22 @@
 	// later; together they are to take less than the two seconds in which a server that
 	// is in use gets a request.
 	recentSignalAge = time.Second
+	// likelySoundLogOdds is up to which log odds of failing a suspected server is kept in
+	// use, whatever the floor allows: it is more likely sound than failing. A part of a
+	// service may be disturbed in ways that this host does not see, and the floor has to
+	// hold for the others alone.
+	likelySoundLogOdds = 0.0
 )
 
 // floorRank keeps Limits.Floor of the sound servers in use, however many are
 // suspected. Hosts get the same signals, so without it all of them leave the same
-// servers unused. It holds at all times and with a reserve: a shortage is noticed only
-// when requests have failed, and never where they are lost at hosts that are gone.
+// servers unused. It holds at all times, because a shortage is noticed only when
+// requests have failed, and never where they are lost at hosts that are gone or refused
+// for a reason that says nothing about the service; in a shortage it holds with a reserve.
 type floorRank struct {
 	// maxLogOdds is the highest log odds of failing among the suspected servers
-	// that the floor brings into use, the least suspected ones that were not in
-	// use recently.
+	// that are brought into use, the least suspected ones that were not in use
+	// recently.
 	maxLogOdds float64
 	updatedAt  model.Instant
 	isRanked   bool
@@ -60,14 +67,17 @@
 		}
 	}
 	slices.Sort(f.unused)
-	missing := f.missingSound((1-limits.Floor)*sound/floorReserve - soundCold)
+	missing := f.missingSound((1-limits.Floor)*sound - unusedMargin - soundCold)
 	if isShort {
 		maxUnused := max(int((1-limits.Floor)*float64(len(servers))/floorReserve)-cold, 0)
 		missing = max(missing, len(f.unused)-maxUnused)
 	}
 	f.maxLogOdds = math.Inf(-1)
+	if limits.Floor > 0 {
+		f.maxLogOdds = likelySoundLogOdds
+	}
 	if missing > 0 {
-		f.maxLogOdds = f.unused[missing-1]
+		f.maxLogOdds = max(f.maxLogOdds, f.unused[missing-1])
 	}
 }
 
--- a/decision/placement/sampling.go
+++ b/decision/placement/sampling.go
@@ -71,7 +71,7 @@
 	p.floor.update(now, p.subset, &p.limits, p.IsShort(now))
 	sm.probes = sm.probes[:0]
 	if math.IsInf(p.floor.maxLogOdds, -1) {
-		return // the floor needs no suspected server
+		return // no floor is set
 	}
 	for _, s := range p.subset {
 		if p.needsProbe(now, s) {
