--- a/host/backend/attempt.go
+++ b/host/backend/attempt.go
@@ -130,6 +130,7 @@
 		e.Written.Store(true)
 	}
 	e.conn = c
+	c.noteSent(e.RequestID, e.Request.Header.IsHead())
 	e.writeError = err
 	return written, failure{}
 }
--- a/host/backend/conn.go
+++ b/host/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,10 @@
 	readerPool *sync.Pool    // the transport's
 	reader     *bufio.Reader // nil while idle
 	idleSince  time.Time
+	// carriedHead says that a HEAD request was sent, the response to which has no body
+	// whatever its header says.
+	carriedHead bool
+	earlierIDs  []string // of the last requests that were sent, the present one included
 
 	requestHeader []byte // buffer for the encoded request header, reused
 
@@ -47,6 +52,20 @@
 	c.reader = nil
 }
 
+// maxEarlierIDs is how many requests back a copy of a response is recognized.
+const maxEarlierIDs = 4
+
+// noteSent records a request that is sent.
+func (c *conn) noteSent(id string, isHead bool) {
+	c.carriedHead = c.carriedHead || isHead
+	c.earlierIDs = append(c.earlierIDs[max(0, len(c.earlierIDs)-maxEarlierIDs):], id)
+}
+
+// isEarlierID reports whether an ID is that of one of the last requests.
+func (c *conn) isEarlierID(id []byte) bool {
+	return slices.ContainsFunc(c.earlierIDs, func(earlier string) bool { return earlier == string(id) })
+}
+
 func (c *conn) close() { _ = c.tcp.Close() }
 
 // write writes a message, whose body is in one or several parts, with vectored writes
--- a/host/backend/extra_response_test.go
+++ b/host/backend/extra_response_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -39,3 +41,77 @@
 	}
 	c.Check(server.connections(), qt.Equals, 1)
 }
+
+// TestExtraResponseIsNotDelivered guards against a response to another request that is
+// taken for the answer, or against bytes of its body that are taken for a response, where
+// its end is not known.
+func TestExtraResponseIsNotDelivered(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nPollensail-Request-Id: =ID=\r\nContent-Length: 3\r\n\r\nown"
+	const other = "HTTP/1.1 200 OK\r\nPollensail-Request-Id: EARLIER\r\n"
+	const inner = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+	tests := map[string]struct {
+		extra string
+		want  string // empty: the attempt fails
+	}{
+		"with a length":          {other + "Content-Length: 5\r\n\r\nother", "own"},
+		"empty":                  {other + "Content-Length: 0\r\n\r\n", "own"},
+		"in chunks":              {other + "Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n", "own"},
+		"twice":                  {strings.Repeat(other+"Content-Length: 5\r\n\r\nother", 2), "own"},
+		"without content":        {"HTTP/1.1 204 No Content\r\nPollensail-Request-Id: EARLIER\r\n\r\n", "own"},
+		"holds a response":       {other + "Content-Length: " + strconv.Itoa(len(inner)) + "\r\n\r\n" + inner, "own"},
+		"without an end":         {other + "\r\n", ""},
+		"too large":              {other + "Content-Length: 1048577\r\n\r\n", ""},
+		"too many":               {strings.Repeat(other+"Content-Length: 5\r\n\r\nother", maxResponseHeaders), ""},
+		"with a malformed chunk": {other + "Transfer-Encoding: chunked\r\n\r\n5 \r\nother\r\n0\r\n\r\n", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := startFakeServer(c, func(s *fakeServer, conn *net.TCPConn, in *bufio.Reader) {
+				earlier := s.runRequest(in)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(own, "=ID=", earlier))
+				id := s.runRequest(in)
+				text := strings.ReplaceAll(test.extra+own, "EARLIER", earlier)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "=ID=", id))
+			})
+			transport := newTransport(c, Options{})
+			_, first := transport.Do(newAttempt(transport.clock, server.id, longTimeout))
+			c.Assert(first, qt.IsNotNil)
+			first.Release()
+			attempt := newAttempt(transport.clock, server.id, longTimeout)
+			result, response := transport.Do(attempt)
+			if test.want == "" {
+				c.Check(response, qt.IsNil)
+				c.Check(result.Reason, qt.Equals, model.ReasonBadAnswer)
+				c.Check(result.Verdict, qt.Equals, model.MayHaveRun)
+				return
+			}
+			c.Assert(response, qt.IsNotNil)
+			c.Check(string(response.Response.Body()), qt.Equals, test.want)
+			response.Release()
+		})
+	}
+}
+
+// TestNoSkipAfterHead guards against a response to an earlier HEAD request that is skipped
+// with a body that it does not have.
+func TestNoSkipAfterHead(t *testing.T) {
+	c := qt.New(t)
+	server := startFakeServer(c, func(s *fakeServer, conn *net.TCPConn, in *bufio.Reader) {
+		const header = "HTTP/1.1 200 OK\r\nPollensail-Request-Id: %s\r\nContent-Length: 3\r\n\r\n"
+		head := s.runRequest(in)
+		_, _ = fmt.Fprintf(conn, header, head)
+		id := s.runRequest(in)
+		_, _ = fmt.Fprintf(conn, header+header+"own", head, id)
+	})
+	transport := newTransport(c, Options{})
+	attempt := newAttempt(transport.clock, server.id, longTimeout)
+	attempt.Request.Header.SetMethod("HEAD")
+	attempt.Request.ResetBody()
+	_, response := transport.Do(attempt)
+	c.Assert(response, qt.IsNotNil)
+	response.Release()
+	result, response := transport.Do(newAttempt(transport.clock, server.id, longTimeout))
+	c.Check(response, qt.IsNil)
+	c.Check(result.Reason, qt.Equals, model.ReasonBadAnswer)
+}
--- a/host/backend/receive.go
+++ b/host/backend/receive.go
@@ -53,34 +53,79 @@
 	return model.ReasonBadAnswer
 }
 
-// readFinalHeader reads the header of the final response, skipping interim
-// responses, and checks its request ID.
+// readFinalHeader reads the header of the final response to the request, skipping interim
+// responses and further copies of the responses to earlier requests on the connection.
 func (e *exchange) readFinalHeader(r *fasthttp.Response) error {
+	skipped := false
 	for range maxResponseHeaders {
-		if err := e.conn.readHeader(&r.Header); err != nil {
+		err := e.conn.readHeader(&r.Header)
+		switch {
+		case skipped && errors.Is(err, errNoResponse):
+			return errInvalidResponse // there was one, to an earlier request
+		case err != nil:
 			return err
 		}
-		status := r.StatusCode()
-		if status >= 200 {
-			r.Header.SetNoDefaultContentType(true)
-			return e.checkRequestID(&r.Header)
+		switch status := r.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errInvalidResponse
+		case status < fasthttp.StatusOK:
+			continue
 		}
-		if status == fasthttp.StatusSwitchingProtocols {
+		r.Header.SetNoDefaultContentType(true)
+		switch ids := r.Header.PeekAll(e.dialect().RequestID); {
+		case areAll(ids, e.isOwnID):
+			return nil
+		case !areAll(ids, e.conn.isEarlierID):
 			return errInvalidResponse
 		}
+		if err := e.skipBody(r); err != nil {
+			return err
+		}
+		skipped = true
 	}
 	return errInvalidResponse
 }
 
-// checkRequestID fails if the response has the ID of another request. A response
-// without an ID is accepted.
-func (e *exchange) checkRequestID(h *fasthttp.ResponseHeader) error {
-	for _, id := range h.PeekAll(e.dialect().RequestID) {
-		if string(id) != e.RequestID {
-			return errInvalidResponse
+// isOwnID reports whether an ID is that of the request. A response without an ID is
+// accepted too.
+func (e *exchange) isOwnID(id []byte) bool { return string(id) == e.RequestID }
+
+func areAll(ids [][]byte, matches func([]byte) bool) bool {
+	for _, id := range ids {
+		if !matches(id) {
+			return false
 		}
 	}
-	return nil
+	return true
+}
+
+// skipBody reads the body of a copy of the response to an earlier request; the request's
+// own response follows. It fails where the end of the body is not known, as after a HEAD
+// request on the connection, or beyond MaxBufferedBody bytes.
+func (e *exchange) skipBody(r *fasthttp.Response) error {
+	length := r.Header.ContentLength()
+	var body io.Reader
+	switch {
+	case e.conn.carriedHead:
+		return errInvalidResponse
+	case isBodyless(r.StatusCode()):
+		return nil
+	case length == lengthUntilClose || length > MaxBufferedBody:
+		return errInvalidResponse
+	case length == lengthChunked:
+		body = wire.NewChunkedReader(e.conn.reader)
+	default:
+		body = io.LimitReader(e.conn.reader, int64(length))
+	}
+	n, err := io.CopyN(io.Discard, body, MaxBufferedBody+1)
+	switch {
+	case err == nil, errors.Is(err, io.EOF) && length >= 0 && n < int64(length):
+		return errInvalidResponse // too large, or cut
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
 }
 
 // readHeader reads one response header. It fails if the header is malformed or the
@@ -174,9 +219,12 @@
 // hasNoBody reports whether the response has no body regardless of its header:
 // a response to HEAD, 204 or 304. It sets r.SkipBody for HEAD.
 func (e *exchange) hasNoBody(r *fasthttp.Response) bool {
-	status := r.StatusCode()
 	r.SkipBody = e.Request.Header.IsHead()
-	return r.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	return r.SkipBody || isBodyless(r.StatusCode())
+}
+
+func isBodyless(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 // readLargeBody reads a chunked body of up to MaxBufferedBody bytes completely
