--- a/decision/placement/floor.go
+++ b/decision/placement/floor.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// floorReserve divides the servers that the floor allows to be unused in a
-	// shortage: one part of them may be, the others make up for sound servers that are
+	// floorReserve divides the servers that the floor allows to be unused: with the
+	// reserve one part of them may be, the others make up for sound servers that are
 	// taken for failing ones, and for those in use that get few requests.
 	floorReserve = 4
 	// unusedMargin is how many servers fewer than the floor allows may be unused
@@ -23,11 +23,15 @@
 	// later; together they are to take less than the two seconds in which a server that
 	// is in use gets a request.
 	recentSignalAge = time.Second
-	// likelySoundLogOdds is up to which log odds of failing a suspected server is kept in
-	// use, whatever the floor allows: it is more likely sound than failing. A part of a
-	// service may be disturbed in ways that this host does not see, and the floor has to
-	// hold for the others alone.
+	// likelySoundLogOdds are the log odds of failing up to which a suspected server is more
+	// likely sound than failing. For such servers the floor holds with the reserve at all
+	// times: a part of a service may be disturbed in ways that this host does not see, and
+	// the floor has to hold for the others alone.
 	likelySoundLogOdds = 0.0
+	// likelyUnusedMargin is how many likely sound servers fewer than the reserve allows
+	// may be unused. In a service of some twenty servers none may be: one that is unused
+	// can be one too many of those that are not disturbed.
+	likelyUnusedMargin = 1.5
 )
 
 // floorRank keeps Limits.Floor of the sound servers in use, however many are
@@ -72,13 +76,16 @@
 		maxUnused := max(int((1-limits.Floor)*float64(len(servers))/floorReserve)-cold, 0)
 		missing = max(missing, len(f.unused)-maxUnused)
 	}
-	f.maxLogOdds = math.Inf(-1)
-	if limits.Floor > 0 {
-		f.maxLogOdds = likelySoundLogOdds
-	}
-	if missing > 0 {
-		f.maxLogOdds = max(f.maxLogOdds, f.unused[missing-1])
+	likelySound := f.missingSound((1-limits.Floor)*sound/floorReserve - likelyUnusedMargin - soundCold)
+	f.maxLogOdds = max(f.rankLogOdds(missing), min(f.rankLogOdds(likelySound), likelySoundLogOdds))
+}
+
+// rankLogOdds returns the log odds of the last of the n least suspected unused servers.
+func (f *floorRank) rankLogOdds(n int) float64 {
+	if n <= 0 {
+		return math.Inf(-1)
 	}
+	return f.unused[n-1]
 }
 
 // missingSound returns how many of the unused servers, the least suspected first,
