--- a/decision/config_fleet_test.go
+++ b/decision/config_fleet_test.go
@@ -35,6 +35,8 @@
 	watches       map[*fleettest.Host]bool
 	activeVersion map[model.HostRef]uint64
 	ready         map[model.HostRef]bool
+	storedAt      map[uint64]time.Duration       // of each version
+	staleness     map[model.HostID]time.Duration // the longest time of each host without the version after its own
 	rejected      int
 	reads         int           // of shards in the store
 	rootReads     int           // without watches
@@ -51,6 +53,8 @@
 		watches:       make(map[*fleettest.Host]bool),
 		activeVersion: make(map[model.HostRef]uint64),
 		ready:         make(map[model.HostRef]bool),
+		storedAt:      make(map[uint64]time.Duration),
+		staleness:     make(map[model.HostID]time.Duration),
 	}
 	s.edit(sampleTree())
 	o := fleettest.Options{Seed: seed, Link: link, Intercept: s.intercept}
@@ -96,6 +100,9 @@
 		root.Shards = append(root.Shards, configuration.ShardRef{Name: name, Hash: shard.Hash})
 	}
 	s.root, s.tree = root, tree
+	if s.fleet != nil {
+		s.storedAt[root.Version] = s.fleet.Now
+	}
 	s.wantSnapshots[root.Version], _ = configuration.Compile(tree, root.Version)
 	for h := range s.watches {
 		s.answer(h, s.rootRead(h))
@@ -226,6 +233,9 @@
 	isSame := reflect.DeepEqual(snapshot, s.wantSnapshots[snapshot.Version])
 	s.c.Assert(isSame, qt.IsTrue, qt.Commentf("%v: the active snapshot differs from version %d in the store", h.Ref, snapshot.Version))
 	s.activeVersion[h.Ref] = snapshot.Version
+	if next, ok := s.storedAt[before+1]; ok && before > 0 {
+		s.staleness[h.Ref.ID] = max(s.staleness[h.Ref.ID], s.fleet.Now-next)
+	}
 }
 
 // versions returns the active version of each running host, 0 for none.
