--- a/decision/config.go
+++ b/decision/config.go
@@ -51,6 +51,8 @@
 	nextRoot   offeredRoot // newer than the target; fetched after it
 	// newestKnown is the newest version that this host has learned of.
 	newestKnown uint64
+	lag         versionLag
+	fetches     fetchCounts
 	// behindSince is when the active version last was the newest known, or last
 	// advanced.
 	behindSince model.Instant
@@ -248,6 +250,9 @@
 		c.behindSince = s.now
 	}
 	c.newestKnown = max(c.newestKnown, version)
+	if version > max(c.root.Version, c.rejected) {
+		c.lag.learn(version, s.now)
+	}
 }
 
 // isConfigCurrent reports whether no newer version than the active one is
@@ -289,15 +294,20 @@
 	return isNewest && (c.target.from == "" || 2*len(c.peerVersions) > len(c.peers))
 }
 
-func (s *State) activate(root configuration.Root, snapshot *configuration.Snapshot) {
+// activate puts a version in force. source is the peer that offered it, empty for the
+// store.
+func (s *State) activate(root configuration.Root, source model.HostID, snapshot *configuration.Snapshot) {
 	c := &s.config
+	before := c.root.Version
 	c.root = root
 	c.behindSince = s.now
 	s.applyPendingConfirmation()
 	c.pruneShardCache()
 	clear(c.peerVersions)
 	s.snapshot = snapshot
-	s.emitNotice(effect.NoticeVersion, fmt.Sprintf("version %d", root.Version))
+	lag := c.lag.advance(root.Version, s.now)
+	s.emitNotice(effect.NoticeVersion, s.describeAdvance(before, root.Version, source, lag))
+	c.fetches = fetchCounts{}
 	s.gossipVersion()
 	s.applyServerConfig()
 	s.updateReadiness()
@@ -351,6 +361,7 @@
 func (s *State) rejectVersion(version uint64, problems configuration.Problems) {
 	c := &s.config
 	c.rejected = version
+	c.lag.forget(version)
 	c.pruneShardCache()
 	s.emitNotice(effect.NoticeVersionRejected, describeVersion(version, problems))
 }
--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -90,6 +90,7 @@
 // than what this host has.
 func (s *State) requestRoot(to model.HostID) {
 	newest := configuration.Root{Version: s.config.newestHandled()}
+	s.config.fetches.sent++
 	s.send(to, message.ConfigOffer{Root: newest, Want: true, Evacuation: s.evacuation.set})
 }
 
--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -110,13 +110,14 @@
 	if c.target.compiler == nil || len(c.target.pending) > 0 || !s.mayActivateTarget() {
 		return
 	}
-	root, compiler, isAnnounced := c.target.root, c.target.compiler, c.target.isAnnounced
+	offer, compiler, isAnnounced := c.target.offeredRoot, c.target.compiler, c.target.isAnnounced
+	root := offer.root
 	c.target = configTarget{}
 	snapshot, problems := compiler.Finish()
 	if snapshot == nil {
 		s.rejectVersion(root.Version, problems)
 	} else {
-		s.activate(root, snapshot)
+		s.activate(root, offer.from, snapshot)
 		if isAnnounced {
 			s.offerLargeVersion()
 		}
@@ -235,6 +236,7 @@
 
 func (s *State) readStoredShards(hashes []string) {
 	s.config.target.readsStore = true
+	s.config.fetches.sent++
 	s.emit(effect.ReadShards{Hashes: hashes})
 }
 
@@ -257,6 +259,7 @@
 
 func (s *State) askForShards(peer model.HostID, hashes []string) {
 	s.config.target.lastAsked = peer
+	s.config.fetches.sent++
 	s.send(peer, message.ShardAsk{Hashes: hashes})
 }
 
@@ -291,6 +294,7 @@
 		return
 	}
 	t.failedRequests++
+	s.config.fetches.unanswered++
 	s.noteVersionDelayed()
 	if s.config.nextRoot.root.Version > t.root.Version {
 		failedRequests := t.failedRequests
@@ -308,8 +312,8 @@
 	if !t.readsStore {
 		asked = string(t.lastAsked)
 	}
-	s.emitNotice(effect.NoticeVersionDelayed, fmt.Sprintf("version %d: request %d, to %s, not answered in %v; %d shards missing, %d peers have the version",
-		t.root.Version, t.failedRequests, asked, s.now.Sub(t.requestedAt), len(t.pending), len(t.holders)))
+	s.emitNotice(effect.NoticeVersionDelayed, fmt.Sprintf("version %d: request %d, to %s, not answered in %v; %d shards missing, %d peers have the version; version %d is known, %d is in force",
+		t.root.Version, t.failedRequests, asked, s.now.Sub(t.requestedAt), len(t.pending), len(t.holders), s.config.newestKnown, s.config.root.Version))
 }
 
 func (s *State) onShardsRead(e event.ShardsRead) {
@@ -321,6 +325,9 @@
 			return
 		}
 	}
+	if e.Error != event.StoreOK {
+		s.config.fetches.failed++
+	}
 	if e.Error != event.StoreOK && len(s.config.target.pending) == pending {
 		s.onFailedShardRead()
 	}
--- a/decision/effect/effect.go
+++ b/decision/effect/effect.go
@@ -229,6 +229,10 @@
 	Refusals  []RefusalCount
 	InFlight  int
 	Balance   []ServiceBalance // of services whose load is estimated
+	// ConfigLag is how long the host has known of a newer version than the one in
+	// force, and MaxConfigLag the longest such time since the start of the process.
+	ConfigLag    time.Duration
+	MaxConfigLag time.Duration
 	// ConfigProblem says why the newest configuration in the store cannot be read,
 	// or which of its objects are unusable; empty if all of it is in force.
 	ConfigProblem string
--- a/decision/request_end_host_test.go
+++ b/decision/request_end_host_test.go
@@ -235,7 +235,7 @@
 	s := h.state
 	s.now = max(s.now, h.now)
 	s.effects = nil
-	s.activate(configuration.Root{Version: h.version}, h.snapshot())
+	s.activate(configuration.Root{Version: h.version}, "", h.snapshot())
 	s.fireDue()
 	s.armTimer()
 	h.apply(s.effects)
--- a/decision/status.go
+++ b/decision/status.go
@@ -15,6 +15,8 @@
 		InFlight: len(s.requests),
 		Refusals: s.refusalCounts(),
 
+		ConfigLag:     s.config.lag.current(s.now),
+		MaxConfigLag:  max(s.config.lag.longest, s.config.lag.current(s.now)),
 		ConfigProblem: cmp.Or(s.config.problem, s.config.unusableObjects),
 	}
 	status.Evacuation = s.evacuationStatus()
