--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -48,6 +48,7 @@
 	lastAsked      model.HostID  // the peer that got the last request to a peer
 	readsStore     bool          // the last request went to the store, or the first is to
 	storeFailed    bool          // a read from the store failed
+	isReplaced     bool          // the store has replaced it by a newer version
 	large          largeFetch
 	isAnnounced    bool // peers were told of it because it is large
 }
@@ -104,7 +105,9 @@
 
 // isProgressing reports whether the target's shards arrive without lost
 // requests.
-func (t *configTarget) isProgressing() bool { return t.compiler != nil && t.failedRequests == 0 }
+func (t *configTarget) isProgressing() bool {
+	return t.compiler != nil && t.failedRequests == 0 && !t.isReplaced
+}
 
 // startNextRoot makes nextRoot the target, if it is newer than the versions
 // that this host has handled.
@@ -275,6 +278,22 @@
 	}
 }
 
+// onReplacedShards turns to the newer version that has replaced the target in the store:
+// the one that this host knows of, or else that which the store has.
+func (s *State) onReplacedShards() {
+	c := &s.config
+	if len(c.target.pending) == 0 {
+		return
+	}
+	c.target.isReplaced = true
+	if c.nextRoot.root.Version > c.target.root.Version {
+		c.target = configTarget{}
+		s.startNextRoot()
+		return
+	}
+	s.readRoot()
+}
+
 // retryShards repeats a request for shards that was not answered in time, or
 // turns to a newer root.
 func (s *State) retryShards() {
@@ -316,7 +335,11 @@
 	if e.Error != event.StoreOK {
 		s.config.fetches.failed++
 	}
-	if e.Error != event.StoreOK && len(s.config.target.pending) == pending {
+	switch {
+	case e.Error == event.StoreOK || len(s.config.target.pending) != pending:
+	case e.Error == event.StoreReplaced:
+		s.onReplacedShards()
+	default:
 		s.onFailedShardRead()
 	}
 }
--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -120,6 +120,9 @@
 	StoreConflict
 	// StoreUnavailable: no usable reply arrived; a write may have taken effect.
 	StoreUnavailable
+	// StoreReplaced: the store answered, but a newer version of the configuration has
+	// replaced the shards that were read.
+	StoreReplaced
 )
 
 // SlotRead is the result of effect.ReadSlot. Version is 0 if there is no record.
--- a/host/store/effectrunner.go
+++ b/host/store/effectrunner.go
@@ -186,11 +186,20 @@
 			result.Broken = append(result.Broken, hashes[i])
 			continue
 		}
-		result.Error = event.StoreUnavailable
+		result.Error = shardErrorKind(result.Error, err)
 	}
 	r.loop.Post(result)
 }
 
+// shardErrorKind returns the kind of failure of a read of several shards, from that of the
+// reads before and the error of one. A replaced shard says that the store answers.
+func shardErrorKind(before event.StoreError, err error) event.StoreError {
+	if before == event.StoreReplaced || errors.Is(err, ErrReplaced) {
+		return event.StoreReplaced
+	}
+	return event.StoreUnavailable
+}
+
 // problemOf returns what is wrong with an invalid record, empty for other errors.
 func problemOf(err error) string {
 	if !errors.Is(err, ErrBroken) {
--- a/host/store/store.go
+++ b/host/store/store.go
@@ -26,6 +26,9 @@
 	// ErrBroken means that a record was read but is invalid, or that a shard is
 	// missing.
 	ErrBroken = merry.Sentinel("store: broken record")
+	// ErrReplaced means that the store no longer has a shard, because a newer version
+	// of the configuration has replaced it.
+	ErrReplaced = merry.Sentinel("store: a newer version has replaced the shard")
 )
 
 // Store is a key-value store with versioned values and compare-and-swap, which
