--- a/decision/hostlist.go
+++ b/decision/hostlist.go
@@ -211,6 +211,12 @@
 	if d.request.isPending {
 		s.recordListFailure()
 	}
+	s.sendListRequest()
+}
+
+// sendListRequest asks the owner of a watch for changes.
+func (s *State) sendListRequest() {
+	d := &s.directory
 	to, ok := s.listProvider()
 	if !ok {
 		d.answeredSince = model.Never
@@ -225,6 +231,14 @@
 	})
 }
 
+// askNextListProvider asks the owner in the next failure domain at once, after one has
+// answered that it does not follow the list, until each domain was tried.
+func (s *State) askNextListProvider() {
+	if s.snapshot != nil && s.directory.request.failures < len(s.snapshot.Domains) {
+		s.sendListRequest()
+	}
+}
+
 func (s *State) recordListFailure() {
 	d := &s.directory
 	d.request.isPending = false
@@ -291,6 +305,7 @@
 	}
 	if !m.IsFollowed || m.Age < 0 {
 		s.recordListFailure()
+		s.askNextListProvider()
 		return
 	}
 	d.request.isPending = false
