--- a/decision/config.go
+++ b/decision/config.go
@@ -16,12 +16,16 @@
 // repeated and the ownership of the store watch is checked.
 const configTickInterval = 500 * time.Millisecond
 
-// delegatedReads is how many random peers are asked in each tick to read the root by
-// a host that watches it and does not reach the store. With two, an edit reaches the
+// delegatedReads is how many random peers are asked in each tick to read and watch the
+// root by a host that watches it and does not reach the store. With two, an edit reaches the
 // fleet in time where the store turns away a third of the hosts, among them all that
 // watch.
 const delegatedReads = 2
 
+// delegationPeriod is how long a host watches the root for another one that has asked it
+// to read: two of its ticks, so that one lost request does not end the watch.
+const delegationPeriod = 2 * configTickInterval
+
 // peerWaitTicks is how many ticks a host that knows of a newer version waits
 // for peers before it reads the root from the store, so that a change does not
 // make every host read at once.
@@ -82,6 +86,7 @@
 
 	storeVersion      uint64        // highest store version returned with a root
 	nextOwnerlessRead model.Instant // when to read while the watch has no known owner
+	delegatedUntil    model.Instant // until when to watch for a host that does not reach the store
 	isStoreEmpty      bool          // the store has no root
 	isReading         bool          // a read of the root is pending
 	isWatching        bool          // a watch of the root is pending
@@ -143,11 +148,17 @@
 		s.onRootOffered(e.Root, "")
 		s.confirmVersion(e.Root.Version, e.SentAt)
 	}
-	if s.ownsSlot0() {
+	if s.isWatcher() {
 		s.watchRoot()
 	}
 }
 
+// isWatcher reports whether this host watches the root, for its failure domain or for
+// another host that does not reach the store.
+func (s *State) isWatcher() bool {
+	return s.ownsSlot0() || s.now < s.config.delegatedUntil
+}
+
 func (s *State) setConfigTimer() {
 	s.timers.Set(timerKey{kind: timerConfig}, s.now.Add(configTickInterval))
 }
@@ -187,7 +198,7 @@
 	case s.ownsSlot0() && c.storeCallFailed:
 		s.readRoot()
 		s.delegateRead()
-	case s.ownsSlot0():
+	case s.ownsSlot0(), s.isWatcher() && !c.storeCallFailed:
 		s.watchRoot()
 	case c.newestHandled() == 0 && c.isStoreEmpty:
 		s.watchRoot()
--- a/decision/config_series_test.go
+++ b/decision/config_series_test.go
@@ -112,6 +112,7 @@
 		{editSeries{hosts: 88, maxDelay: 160 * ms, interval: 60 * ms, length: 4 * time.Second}, soon},
 		{editSeries{hosts: 120, maxDelay: 160 * ms, interval: 100 * ms, length: 4 * time.Second, loss: 0.01}, inForce},
 		{editSeries{hosts: 88, maxDelay: 80 * ms, interval: 100 * ms, length: 4 * time.Second, loss: 0.025, turnAway: true, kills: true}, inForce},
+		{editSeries{hosts: 88, maxDelay: 8 * ms, interval: 160 * ms, length: 4 * time.Second, turnAway: true}, soon / 2},
 		{editSeries{hosts: 450, maxDelay: 80 * ms, interval: 200 * ms, length: 3 * time.Second}, soon},
 	}
 	for _, test := range tests {
--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -46,6 +46,7 @@
 		return
 	}
 	if m.Read {
+		s.config.delegatedUntil = s.now.Add(delegationPeriod)
 		s.readRoot()
 	}
 	if len(m.Root.Shards) > 0 {
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -288,8 +288,8 @@
 	Root configuration.Root
 	// Want asks the receiver to reply with its own offer.
 	Want bool
-	// Read asks the receiver to read the root from the store, which the sender, who
-	// watches it for others, does not reach. A host of an older release ignores it.
+	// Read asks the receiver to read the root from the store and to watch it for a
+	// while, as the sender, who watches it for others, does not reach the store.
 	Read bool
 	// Fetching reports that the sender does not have the shards of Root yet. A host of
 	// an older release ignores it, asks the sender for them and gets no answer.
