--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -292,7 +292,7 @@
 	// while, as the sender, who watches it for others, does not reach the store.
 	Read bool
 	// Fetching reports that the sender does not have the shards of Root yet. A host of
-	// an older release ignores it, asks the sender for them and gets no answer.
+	// an older release ignores it, asks the sender for them and gets none.
 	Fetching bool
 	// Evacuation is as in Heartbeat.
 	Evacuation model.Evacuation
