--- a/decision/config_series_test.go
+++ b/decision/config_series_test.go
@@ -1,6 +1,7 @@
 package decision_test
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"slices"
 	"testing"
@@ -8,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollensail.dev/decision/configuration"
 	"pollensail.dev/decision/fleettest"
 	"pollensail.dev/decision/message"
 	"pollensail.dev/decision/model"
@@ -23,6 +25,7 @@
 	length   time.Duration
 	turnAway bool // the store does not answer a third of the hosts
 	kills    bool // a random host is killed every second, and starts again
+	accounts int  // client accounts beyond those of sampleTree, of which the edits are
 }
 
 // seriesResult is what a series of edits shows.
@@ -49,6 +52,9 @@
 	s := newTreeFleet(t, e.hosts, seed, link)
 	s.c.Assert(s.converges(30*time.Second), qt.IsTrue)
 	s.fleet.Run(30 * time.Second) // until the slots have owners
+	if e.accounts > 0 {
+		s.addAccounts(e.accounts)
+	}
 	if e.turnAway {
 		s.callTimeout = time.Second
 		s.turnAwayWatchers(e.hosts/3 - len(s.watches))
@@ -70,7 +76,7 @@
 			s.restartRandomHost()
 			nextKill = s.fleet.Now + time.Second
 		}
-		s.set(account(s.rand.IntN(sampleAccounts)), "burst", fmt.Sprint(s.root.Version))
+		s.set(account(s.rand.IntN(sampleAccounts+e.accounts)), "burst", fmt.Sprint(s.root.Version))
 	}
 	s.c.Check(s.converges(maxPropagation), qt.IsTrue, qt.Commentf("%v, want %d", s.versions(), s.root.Version))
 	for _, d := range s.staleness {
@@ -82,6 +88,18 @@
 	return r
 }
 
+// addAccounts stores a version with more client accounts, and waits until it is in force.
+func (s *treeStore) addAccounts(count int) {
+	tree := s.tree.Clone()
+	for i := range count {
+		p := account(sampleAccounts + i)
+		tree.Set(p, "keys", configuration.FormatKey(sha256.Sum256([]byte(p))))
+	}
+	s.edit(tree)
+	s.c.Assert(s.converges(10*time.Second), qt.IsTrue)
+	s.fleet.Run(time.Second)
+}
+
 // restartRandomHost kills a host, which starts again a while later.
 func (s *treeStore) restartRandomHost() {
 	entry := s.fleet.Options.Hosts[s.rand.IntN(len(s.fleet.Options.Hosts))]
@@ -113,6 +131,7 @@
 		{editSeries{hosts: 120, maxDelay: 160 * ms, interval: 100 * ms, length: 4 * time.Second, loss: 0.01}, inForce},
 		{editSeries{hosts: 88, maxDelay: 80 * ms, interval: 100 * ms, length: 4 * time.Second, loss: 0.025, turnAway: true, kills: true}, inForce},
 		{editSeries{hosts: 88, maxDelay: 8 * ms, interval: 160 * ms, length: 4 * time.Second, turnAway: true}, soon / 2},
+		{editSeries{hosts: 40, maxDelay: 160 * ms, interval: 60 * ms, length: 4 * time.Second, accounts: 6000, turnAway: true}, soon},
 		{editSeries{hosts: 450, maxDelay: 80 * ms, interval: 200 * ms, length: 3 * time.Second}, soon},
 	}
 	for _, test := range tests {
--- a/decision/configlag.go
+++ b/decision/configlag.go
@@ -71,6 +71,15 @@
 		version, lag, before, from, n.sent, n.unanswered, n.failed)
 }
 
+// count returns how many versions up to the given one are known that are not in force.
+func (l *versionLag) count(version uint64) int {
+	n := 0
+	for n < len(l.learned) && l.learned[n].version <= version {
+		n++
+	}
+	return n
+}
+
 // current returns how long this host has known of a newer version than the active one.
 func (l *versionLag) current(now model.Instant) time.Duration {
 	if len(l.learned) == 0 {
--- a/decision/configlarge.go
+++ b/decision/configlarge.go
@@ -13,7 +13,7 @@
 // such generations to reach a hundred hosts. So most hosts read large versions from the
 // store, at random times. The others wait, and then ask a host that has the version.
 
-// largeVersionShards is how many missing shards make a version large: with 32 KB each,
+// largeVersionShards is how many missing shards for each version make a target large: with 32 KB each,
 // more take a link of 10 Mbit/s over a tenth of a second for each receiver.
 const largeVersionShards = 4
 
@@ -40,12 +40,21 @@
 	startAt model.Instant // valid with isLarge
 }
 
+// isLargeStep reports whether the target's missing shards are many for the number of
+// versions that lead to it. A host that is behind a series of small edits is not to wait
+// for its turn at the store.
+func (s *State) isLargeStep() bool {
+	c := &s.config
+	versions := max(1, c.lag.count(c.target.root.Version))
+	return s.countMissingShards() > largeVersionShards*versions
+}
+
 // planLargeFetch decides how to get the target's shards, if they are many and the store
 // seems to answer. It does so once for each target.
 func (s *State) planLargeFetch() {
 	c := &s.config
 	missing := s.countMissingShards()
-	if c.target.from == "" || c.root.Version == 0 || c.storeCallFailed || missing <= largeVersionShards {
+	if c.target.from == "" || c.root.Version == 0 || c.storeCallFailed || !s.isLargeStep() {
 		return
 	}
 	reads := float64((len(c.peers) + 1) * missing)
@@ -63,7 +72,7 @@
 // announceLargeVersion tells random peers of the target, if it is large.
 func (s *State) announceLargeVersion() {
 	t := &s.config.target
-	if s.config.root.Version == 0 || s.countMissingShards() <= largeVersionShards {
+	if s.config.root.Version == 0 || !s.isLargeStep() {
 		return
 	}
 	t.isAnnounced = true
--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -85,11 +85,13 @@
 func (s *State) requestRoot(to model.HostID, withShards bool) {
 	c := &s.config
 	newest := configuration.Root{Version: c.newestHandled()}
+	var cached []string
 	if withShards {
 		newest.Version = max(c.root.Version, c.rejected)
+		cached = c.newShardHashes()
 	}
 	c.fetches.sent++
-	s.send(to, message.ConfigOffer{Root: newest, Want: true, Evacuation: s.evacuation.set, WithShards: withShards})
+	s.send(to, message.ConfigOffer{Root: newest, Want: true, Evacuation: s.evacuation.set, WithShards: withShards, Cached: cached})
 }
 
 // delegateRead asks random peers to read the root in place of this host, which does not
--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -392,25 +392,30 @@
 
 func (s *State) compileShard(shard configuration.Shard) {
 	t := &s.config.target
-	branches := shard.Branches
-	// Only the encoded form is cached, in a slice of its own: the buffer of a
-	// read may be larger than its content.
-	shard.Branches = nil
-	shard.Encoded = slices.Clone(shard.Encoded)
-	hasHash := func(ref configuration.ShardRef) bool { return ref.Hash == shard.Hash }
-	if slices.ContainsFunc(t.pending, hasHash) {
-		s.config.shardCache[shard.Hash] = shard
-	}
+	s.cacheShard(shard)
 	batch := t.nextBatch()
-	i := slices.IndexFunc(batch, hasHash)
+	i := slices.IndexFunc(batch, hasHash(shard.Hash))
 	if i < 0 {
 		return
 	}
 	ref := batch[i]
-	t.compiler.Add(ref.Name, branches)
+	t.compiler.Add(ref.Name, shard.Branches)
 	t.pending = slices.DeleteFunc(t.pending, func(r configuration.ShardRef) bool { return r == ref })
 }
 
+// cacheShard keeps a shard that the target waits for. Only the encoded form is cached, in
+// a slice of its own: the buffer of a read may be larger than its content.
+func (s *State) cacheShard(shard configuration.Shard) {
+	if !slices.ContainsFunc(s.config.target.pending, hasHash(shard.Hash)) {
+		return
+	}
+	s.config.shardCache[shard.Hash] = configuration.Shard{Hash: shard.Hash, Encoded: slices.Clone(shard.Encoded)}
+}
+
+func hasHash(hash string) func(configuration.ShardRef) bool {
+	return func(ref configuration.ShardRef) bool { return ref.Hash == hash }
+}
+
 // onShardAsk answers with the shards that are cached; the receiver decodes them. Where
 // some are missing, the answer has the active root, so that the receiver can turn to it.
 func (s *State) onShardAsk(from model.HostRef, m message.ShardAsk) {
--- a/decision/configupdate.go
+++ b/decision/configupdate.go
@@ -159,22 +159,22 @@
 	case root.Version <= m.Root.Version:
 		root = configuration.Root{Version: root.Version}
 	case m.WithShards:
-		s.send(to, message.Shards{Root: root, Shards: s.config.shardsSince(m.Root.Version)})
+		s.send(to, message.Shards{Root: root, Shards: s.config.shardsSince(m.Root.Version, m.Cached)})
 		return
 	}
 	s.send(to, message.ConfigOffer{Root: root, Evacuation: s.evacuation.set})
 }
 
-// shardsSince returns the cached shards that may differ from those of an older version,
-// none if they are many.
-func (c *configState) shardsSince(version uint64) []configuration.Shard {
+// shardsSince returns the shards that may differ from those of an older version, but for
+// those that the asker has, and none if they are too many for one message.
+func (c *configState) shardsSince(version uint64, asker []string) []configuration.Shard {
 	var shards []configuration.Shard
 	for _, ref := range c.root.Shards {
 		shard, ok := c.shardCache[ref.Hash]
-		if !ok || c.shardVersions[ref.Name] <= version {
+		if !ok || c.shardVersions[ref.Name] <= version || slices.Contains(asker, ref.Hash) {
 			continue
 		}
-		if len(shards) == largeVersionShards {
+		if len(shards) == maxShardsPerRequest {
 			return nil
 		}
 		shards = append(shards, shard)
@@ -182,6 +182,22 @@
 	return shards
 }
 
+// newShardHashes returns the hashes of cached shards that the active root does not have.
+func (c *configState) newShardHashes() []string {
+	active := make(map[string]bool, len(c.root.Shards))
+	for _, ref := range c.root.Shards {
+		active[ref.Hash] = true
+	}
+	var hashes []string
+	for hash := range c.shardCache {
+		if !active[hash] {
+			hashes = append(hashes, hash)
+		}
+	}
+	slices.Sort(hashes)
+	return hashes[:min(len(hashes), message.MaxCachedHashes)]
+}
+
 // setRoot replaces the active root, and notes which shards it changes.
 func (c *configState) setRoot(root configuration.Root) {
 	versions := make(map[string]uint64, len(root.Shards))
@@ -195,7 +211,8 @@
 }
 
 // onUpdate handles a peer's root with shards: an update, or the answer to a request for
-// shards that the peer has replaced.
+// shards that the peer has replaced. In the latter case this host asks for an update,
+// which may have all that is missing; the shards that it has got so far stay cached.
 func (s *State) onUpdate(from model.HostRef, m message.Shards) {
 	c := &s.config
 	s.endUpdateRequest(from.ID)
@@ -207,6 +224,9 @@
 	case isNewer && (s.hasContent(m) || !c.isAdvancing()):
 		s.startTarget(offeredRoot{m.Root, from.ID}, m.Shards)
 	case isNewer && s.isReplaced(m.Missing):
+		for _, shard := range m.Shards {
+			s.cacheShard(shard)
+		}
 		c.target = configTarget{}
 		s.askForUpdate(from.ID)
 	case isNewer:
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -300,8 +300,14 @@
 	// sender's version as well, in one answer. A host of an older release ignores it
 	// and answers with the root alone.
 	WithShards bool
+	// Cached are the hashes of shards that the sender has beyond those of its version,
+	// and does not need; at most MaxCachedHashes.
+	Cached []string
 }
 
+// MaxCachedHashes bounds ConfigOffer.Cached.
+const MaxCachedHashes = 64
+
 // ShardAsk requests configuration shards by hash. The receiver always answers.
 type ShardAsk struct{ Hashes []string }
 
