--- a/decision/config.go
+++ b/decision/config.go
@@ -17,8 +17,8 @@
 const configTickInterval = 500 * time.Millisecond
 
 // delegatedReads is how many random peers are asked in each tick to read and watch the
-// root by a host that watches it and does not reach the store. With two, an edit reaches the
-// fleet in time where the store turns away a third of the hosts, among them all that
+// root by a host that watches it and does not reach the store. With two, an edit reaches
+// the fleet in time where the store turns away a third of the hosts, among them all that
 // watch.
 const delegatedReads = 2
 
--- a/decision/configlarge.go
+++ b/decision/configlarge.go
@@ -13,8 +13,8 @@
 // such generations to reach a hundred hosts. So most hosts read large versions from the
 // store, at random times. The others wait, and then ask a host that has the version.
 
-// largeVersionShards is how many missing shards for each version make a target large: with 32 KB each,
-// more take a link of 10 Mbit/s over a tenth of a second for each receiver.
+// largeVersionShards is how many missing shards for each version make a target large:
+// with 32 KB each, more take a link of 10 Mbit/s over a tenth of a second for each receiver.
 const largeVersionShards = 4
 
 // largeVersionFanout is how many random peers a host tells of a large version that it is
--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -71,10 +71,10 @@
 	s.requestUpdate()
 }
 
-// notePeerVersion records the version of a peer while this host has none.
+// notePeerVersion records the version of a peer, if it has one, while this host has none.
 func (s *State) notePeerVersion(peer model.HostID, version uint64) {
 	c := &s.config
-	if c.root.Version == 0 && slices.Contains(c.peers, peer) {
+	if version > 0 && c.root.Version == 0 && slices.Contains(c.peers, peer) {
 		c.peerVersions[peer] = version
 		s.completeTarget()
 	}
--- a/decision/configtarget.go
+++ b/decision/configtarget.go
@@ -360,7 +360,7 @@
 			return
 		}
 	}
-	if m.Root.Version > 0 {
+	if m.Root.Version > 0 || len(m.Missing) > 0 {
 		s.onUpdate(from, m)
 		return
 	}
--- a/decision/configupdate.go
+++ b/decision/configupdate.go
@@ -211,7 +211,7 @@
 }
 
 // onUpdate handles a peer's root with shards: an update, or the answer to a request for
-// shards that the peer has replaced. In the latter case this host asks for an update,
+// shards that the peer does not have. In the latter case this host asks for an update,
 // which may have all that is missing; the shards that it has got so far stay cached.
 func (s *State) onUpdate(from model.HostRef, m message.Shards) {
 	c := &s.config
--- a/decision/configupdate_test.go
+++ b/decision/configupdate_test.go
@@ -124,6 +124,18 @@
 	})
 }
 
+// TestMissingShardsAreAskedElsewhere guards against a host that waits for its timeout
+// although the peer that it asked has answered that it has no version.
+func TestMissingShardsAreAskedElsewhere(t *testing.T) {
+	h := newUpdateHost(5)
+	six, _ := updateRoot(6)
+	hashes := []string{six.Shards[0].Hash}
+	h.receive("h1", message.ConfigOffer{Root: six})
+	h.receive("h2", announcement(6))
+	sent := h.receive("h1", message.Shards{Missing: hashes}) // h1 has restarted
+	qt.Assert(t, sent, qt.DeepEquals, []effect.Send{{To: "h2", Message: message.ShardAsk{Hashes: hashes}}})
+}
+
 // TestReplacedTargetIsGivenUp guards against a host that goes on asking for a version that
 // its peers have replaced, while edits follow each other faster than it fetches one.
 func TestReplacedTargetIsGivenUp(t *testing.T) {
