--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -62,6 +62,7 @@
 func (s *State) onPeerVersion(from model.HostRef, version uint64) {
 	if version <= s.config.newestHandled() {
 		s.endUpdateRequest(from.ID)
+		s.config.update.dropHolder(from.ID)
 	}
 	if version > 0 {
 		s.noteKnownVersion(version)
--- a/decision/configupdate.go
+++ b/decision/configupdate.go
@@ -67,6 +67,12 @@
 	u.holders = append(u.holders, versionHolder{peer, version})
 }
 
+// dropHolder forgets a peer that has answered that it does not have what it was known
+// for, as after a restart. Otherwise it would be asked again at each such answer.
+func (u *updateState) dropHolder(peer model.HostID) {
+	u.holders = slices.DeleteFunc(u.holders, func(h versionHolder) bool { return h.peer == peer })
+}
+
 // holdersOf returns the peers that are known to have a version or a newer one.
 func (c *configState) holdersOf(version uint64) []model.HostID {
 	var peers []model.HostID
@@ -270,6 +276,7 @@
 	if from != t.lastAsked || !s.isReplaced(missing) {
 		return
 	}
+	s.config.update.dropHolder(from)
 	for _, holder := range s.config.holdersOf(t.root.Version) {
 		if holder != from {
 			s.askForShards(holder, missing)
--- a/decision/configupdate_test.go
+++ b/decision/configupdate_test.go
@@ -98,7 +98,7 @@
 
 // TestUpdateIsAskedElsewhere guards against a host that waits for its timeout although a
 // peer has answered that it has nothing newer, or that stays silent while others announce
-// newer versions.
+// newer versions, and against one that asks the same peer again at each such answer.
 func TestUpdateIsAskedElsewhere(t *testing.T) {
 	want := func(version uint64) message.ConfigOffer {
 		return message.ConfigOffer{Root: configuration.Root{Version: version}, Want: true, WithShards: true}
@@ -108,8 +108,8 @@
 		h := newUpdateHost(5)
 		qt.Check(t, h.receive("h1", announcement(6)), qt.DeepEquals, to("h1"))
 		qt.Check(t, h.receive("h2", announcement(6)), qt.HasLen, 0)
-		h.config.update.holders = h.config.update.holders[1:] // h1 has restarted
-		qt.Check(t, h.receive("h1", announcement(0)), qt.DeepEquals, to("h2"))
+		qt.Check(t, h.receive("h1", announcement(0)), qt.DeepEquals, to("h2")) // h1 has restarted
+		qt.Check(t, h.receive("h2", announcement(0)), qt.HasLen, 0)
 	})
 	t.Run("the peer is silent", func(t *testing.T) {
 		h := newUpdateHost(5)
@@ -134,6 +134,7 @@
 	h.receive("h2", announcement(6))
 	sent := h.receive("h1", message.Shards{Missing: hashes}) // h1 has restarted
 	qt.Assert(t, sent, qt.DeepEquals, []effect.Send{{To: "h2", Message: message.ShardAsk{Hashes: hashes}}})
+	qt.Check(t, h.receive("h2", message.Shards{Missing: hashes}), qt.HasLen, 0)
 }
 
 // TestReplacedTargetIsGivenUp guards against a host that goes on asking for a version that
