--- /dev/null
+++ b/review/lab-2/revoke.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"syscall"
+	"time"
+)
+
+func init() { cases["restore-revoke"] = restoreRevoke }
+
+// revokeBound is the bound `revoke` of the sites.
+const revokeBound = 5 * time.Second
+
+// restoreRevoke: a key is taken away; a drill brings the store back from a copy that
+// still has it; a host that was killed starts before the operator has written the
+// configuration again. Each zone has one host, so that the platform sends it clients
+// whether it is ready or not.
+func restoreRevoke(record string) {
+	const keptKey, takenKey = "keptkey0000000000001", "takenkey000000000001"
+	l := newLab(record, "zone-a", "zone-b", "zone-c")
+	rules := []rule{{"r-read", "safe", "read.example", "/read/", "archive", "4000ms", 2}}
+	before := config(11, []tenant{{"tenant-1", []string{keptKey, takenKey}, 0, 0}}, rules)
+	after := config(12, []tenant{{"tenant-1", []string{keptKey}, 0, 0}}, rules)
+	l.store.put("op/config", before)
+	var servers []*backend
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		servers = append(servers, l.startBackend(id, "archive", 6, work(10*time.Millisecond)))
+	}
+	for _, zone := range l.zones {
+		l.addHost(zone).begin()
+	}
+	l.awaitReady(30 * time.Second)
+	time.Sleep(8 * time.Second)
+	get := func(h *host, key string) result {
+		return l.send(h, request{id: newID(), method: "GET", host: "read.example", path: "/read/1", key: key, deadline: 4 * time.Second})
+	}
+	for _, h := range l.hosts {
+		if r := get(h, takenKey); r.status != 200 {
+			l.unable("%s answers %d before the key is taken away", h.name, r.status)
+		}
+	}
+	acknowledged := l.store.put("op/config", after)
+	l.record("ack", "-", "version r12, without the key")
+	time.Sleep(3500 * time.Millisecond)
+	if l.trouble {
+		l.store.stop()
+		l.record("store", "-", "away")
+	}
+	killed := l.hosts[2]
+	killed.signal(syscall.SIGKILL)
+	killed.kill()
+	time.Sleep(1600 * time.Millisecond)
+	if l.trouble {
+		l.store.restore(time.Since(acknowledged) + 200*time.Millisecond)
+		l.record("store", "-", "back from a copy that is %.1f s old", time.Since(acknowledged).Seconds()+0.2)
+	}
+	returned := time.Now()
+	killed.begin()
+	for isWritten := false; time.Since(returned) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+		if !isWritten && time.Since(returned) > time.Second {
+			isWritten = true
+			for _, b := range servers {
+				b.register("ready")
+			}
+			l.store.put("op/config", after)
+			l.record("ack", "-", "version r12 again")
+		}
+		for _, h := range l.hosts {
+			sent := time.Now()
+			r := get(h, takenKey)
+			if sent.Sub(acknowledged) > revokeBound && r.status == 200 {
+				l.fail("CONFIG: %s had a request run that was sent %.2f s after the acknowledgement that took its key away", h.name, sent.Sub(acknowledged).Seconds())
+			}
+		}
+	}
+	for _, h := range l.hosts {
+		if r := get(h, keptKey); r.status != 200 {
+			l.unable("%s answers %d to the key that was kept", h.name, r.status)
+		}
+	}
+	l.end()
+}
