--- a/review/lab-2/extra.go
+++ b/review/lab-2/extra.go
@@ -89,7 +89,6 @@
 
 func (f *faultyServer) answer(b *backend, c *serverConn, r *http.Request) bool {
 	id := r.Header.Get("X-Request-Id")
-	isExtraDue := f.takePending(c)
 	if f.shed() {
 		f.lab.record("shed", id, "server=%s", b.id)
 		c.send(shedAnswer)
@@ -97,7 +96,7 @@
 		return true
 	}
 	b.run(r)
-	if isExtraDue {
+	if f.takePending(c) {
 		time.Sleep(workTime / 2)
 		bytes := f.extra(b)
 		f.lab.record("extra", id, "server=%s sends bytes of no request: %q", b.id, bytes)
@@ -111,21 +110,21 @@
 
 // runExtra plays the fault while clients send requests that may run once at most, and
 // calls check for each.
-func runExtra(record string, slots int, followsShed bool, extra func(*backend) string, check func(*lab, request, result)) {
+func runExtra(record string, slots [5]int, followsShed bool, extra func(*backend) string, check func(*lab, request, result)) {
 	l := newLab(record, "zone-a")
 	rules := []rule{{"r-book", "unsafe", ledgerHost, "/book/", "ledger", "5000ms", 2}}
 	l.store.put("op/config", config(7, []tenant{{"tenant-1", []string{ledgerKey}, 0, 0}}, rules))
 	until := time.Now().Add(time.Hour)
 	for n := range 5 {
-		f := &faultyServer{lab: l, until: func() time.Time { return until }, isFaulty: n < extraServers, slots: slots, followsShed: followsShed, extra: extra, pending: map[*serverConn]bool{}}
-		l.startBackend(fmt.Sprintf("i-%d", n+1), "ledger", slots, f.answer)
+		f := &faultyServer{lab: l, until: func() time.Time { return until }, isFaulty: n < extraServers, slots: slots[n], followsShed: followsShed, extra: extra, pending: map[*serverConn]bool{}}
+		l.startBackend(fmt.Sprintf("i-%d", n+1), "ledger", slots[n], f.answer)
 	}
 	for range 3 {
 		l.addHost("zone-a").begin()
 	}
 	l.awaitReady(30 * time.Second)
 	until = time.Now().Add(extraDuration)
-	l.sendAll(until.Add(time.Second), 36, check)
+	l.sendAll(until.Add(time.Second), 54, check)
 	l.end()
 }
 
@@ -149,7 +148,7 @@
 // request on the connection runs.
 func extraShed(record string) {
 	copyOfShed := func(*backend) string { return shedAnswer }
-	runExtra(record, 6, true, copyOfShed, func(l *lab, r request, got result) {
+	runExtra(record, [5]int{4, 4, 4, 24, 24}, true, copyOfShed, func(l *lab, r request, got result) {
 		if runs := l.runsOf(r.id); runs > 1 {
 			l.fail("TWICE: request %s ran %d times; its client got %d", r.id, runs, got.status)
 		}
@@ -160,7 +159,7 @@
 // connection runs.
 func extraBytes(record string) {
 	health := func(b *backend) string { return fmt.Sprintf(healthAnswer, b.id, b.slots) }
-	runExtra(record, 60, false, health, func(l *lab, r request, got result) {
+	runExtra(record, [5]int{60, 60, 60, 60, 60}, false, health, func(l *lab, r request, got result) {
 		isSuccess := got.err == nil && got.status/100 == 2
 		if isSuccess && !strings.HasSuffix(got.header.Get("X-Server-Stamp"), "."+r.id) {
 			l.fail("MIXED: request %s got %d with body %q and stamp %q", r.id, got.status, got.body, got.header.Get("X-Server-Stamp"))
