--- a/review/lab-2/quota.go
+++ b/review/lab-2/quota.go
@@ -157,6 +157,7 @@
 		}
 	}
 	wg.Wait()
+	l.recordLater(tenants, 16*time.Second)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	allowed := int((rate*window.Seconds()+burst)*1.1) + 20
@@ -169,3 +170,18 @@
 	}
 	l.end()
 }
+
+// recordLater records how each host answers the tenants after a calm time.
+func (l *lab) recordLater(tenants []tenant, calm time.Duration) {
+	time.Sleep(calm)
+	for _, h := range l.hosts {
+		for _, t := range tenants {
+			count := map[int]int{}
+			for range 10 {
+				r := request{id: newID(), method: "GET", host: "read.example", path: "/read/1", key: t.keys[0], deadline: 2 * time.Second}
+				count[l.send(h, r).status]++
+			}
+			l.record("later", "-", "%s answers %s after %v of calm, by status: %v", h.name, t.name, calm, count)
+		}
+	}
+}
