--- /dev/null
+++ b/review/lab-2/flap.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+func init() { cases["quota-twice"] = quotaTwice }
+
+// sweepTime is when hosts forget buckets that are of no use any more, after their start,
+// and every sweepTime from then on.
+const sweepTime = 30 * time.Second
+
+// quotaTwice: the operator lowers a tenant's quota and raises it again 3.5 s later, while
+// the tenant presses.
+func quotaTwice(record string) {
+	const rate, burst, window = 10, 200, 5 * time.Second
+	const lowRate, lowBurst = 4, 4
+	l := newLab(record, "zone-a", "zone-b", "zone-c", "zone-d")
+	q := &quotaRun{lab: l, sent: map[string]time.Time{}, ran: map[string][]span{}}
+	rules := []rule{{"r-read", "safe", "read.example", "/read/", "archive", "4000ms", 1}}
+	const key = "key00000000000000000"
+	write := func(version, rate, burst int) {
+		l.store.put("op/config", config(version, []tenant{{"tenant-0", []string{key}, rate, burst}}, rules))
+		l.record("ack", "-", "version r%d: %d a second, burst %d", version, rate, burst)
+	}
+	write(11, rate, burst)
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		l.startBackend(id, "archive", 60, q.answer)
+	}
+	for _, zone := range l.zones {
+		l.addHost(zone).begin()
+	}
+	l.awaitReady(30 * time.Second)
+	sweep := l.hosts[0].begun.Add(sweepTime)
+	time.Sleep(time.Until(sweep.Add(-3100 * time.Millisecond))) // the buckets are full
+	until := sweep.Add(3 * time.Second)
+	var wg sync.WaitGroup
+	for _, h := range l.hosts {
+		for range 6 {
+			wg.Go(func() { q.press(h, key, until) })
+		}
+	}
+	time.Sleep(time.Until(sweep.Add(-2700 * time.Millisecond)))
+	if l.trouble {
+		write(12, lowRate, lowBurst)
+	} else {
+		write(12, rate, burst)
+	}
+	time.Sleep(time.Until(sweep.Add(800 * time.Millisecond)))
+	write(13, rate, burst)
+	wg.Wait()
+	q.judge(rate, burst, window)
+	l.end()
+}
--- a/review/lab-2/quota.go
+++ b/review/lab-2/quota.go
@@ -158,16 +158,7 @@
 	}
 	wg.Wait()
 	l.recordLater(tenants, 16*time.Second)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	allowed := int((rate*window.Seconds()+burst)*1.1) + 20
-	for name, spans := range q.ran {
-		n := most(spans, window)
-		l.record("count", "-", "%s: %d requests sent and run within %v, %d allowed", name, n, window, allowed)
-		if n > allowed {
-			l.fail("QUOTA: %s had %d requests sent and run within %v, %d are allowed", name, n, window, allowed)
-		}
-	}
+	q.judge(rate, burst, window)
 	l.end()
 }
 
@@ -185,3 +176,17 @@
 		}
 	}
 }
+
+// judge checks each tenant against the rule QUOTA.
+func (q *quotaRun) judge(rate, burst float64, window time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	allowed := int((rate*window.Seconds()+burst)*1.1) + 20
+	for name, spans := range q.ran {
+		n := most(spans, window)
+		q.lab.record("count", "-", "%s: %d requests sent and run within %v, %d allowed", name, n, window, allowed)
+		if n > allowed {
+			q.lab.fail("QUOTA: %s had %d requests sent and run within %v, %d are allowed", name, n, window, allowed)
+		}
+	}
+}
