--- a/host/backend/receive.go
+++ b/host/backend/receive.go
@@ -82,6 +82,7 @@
 			return err
 		}
 		skipped = true
+		e.transport.counters.skipped.Add(1)
 	}
 	return errInvalidResponse
 }
--- a/host/backend/transport.go
+++ b/host/backend/transport.go
@@ -65,6 +65,7 @@
 	// while they are in use. A response header has to fit into one buffer.
 	readerPool sync.Pool
 	memory     responseMemory
+	counters   counters
 
 	mu         sync.Mutex
 	idleConns  map[model.ServerID][]*conn // by server, least recently used first
@@ -115,5 +116,6 @@
 	if err != nil {
 		return nil, err
 	}
+	t.counters.opened.Add(1)
 	return newConn(server, c.(*net.TCPConn), &t.readerPool), nil
 }
--- a/host/process/process.go
+++ b/host/process/process.go
@@ -194,6 +194,16 @@
 			Help: "Memory of responses that are read whole before their delivery.",
 			Read: func() float64 { return float64(p.transport.ResponseBytes()) },
 		},
+		telemetry.MetricSource{
+			Name: "backend_connections_opened_total",
+			Help: "Connections opened to backend servers.",
+			Read: func() float64 { return float64(p.transport.ConnsOpened()) },
+		},
+		telemetry.MetricSource{
+			Name: "backend_responses_skipped_total",
+			Help: "Responses of backend servers that belonged to an earlier request on their connection.",
+			Read: func() float64 { return float64(p.transport.ResponsesSkipped()) },
+		},
 		telemetry.MetricSource{
 			Name: "log_lines_lost_total",
 			Help: "Log lines that the output did not take in time.",
