--- a/host/backend/attempt.go
+++ b/host/backend/attempt.go
@@ -18,7 +18,8 @@
 type Attempt struct {
 	Forward effect.Forward
 	// RequestID is sent in the request ID field. A response with a different
-	// request ID is invalid.
+	// request ID is invalid. All attempts of a request have the same one, so each uses
+	// a connection that has not carried another.
 	RequestID string
 	// Request has only end-to-end fields. Do sets its Content-Length and the
 	// fields of the dialect: request ID, timeout, identity and account.
@@ -93,7 +94,7 @@
 // connection fails before it accepts a byte, the request cannot have run and is
 // sent on a new connection instead.
 func (e *exchange) send() failure {
-	if c := e.transport.getIdleConn(e.Forward.Server); c != nil {
+	if c := e.transport.getIdleConn(e.Forward.Server, e.RequestID); c != nil {
 		written, f := e.writeRequest(c)
 		if written > 0 || f.isNone() || f.reason != model.ReasonServerFailed {
 			return f
--- a/host/backend/conn.go
+++ b/host/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -23,7 +24,9 @@
 	// carriedHead says that a HEAD request was sent, the response to which has no body
 	// whatever its header says.
 	carriedHead bool
-	earlierIDs  []string // of the last requests that were sent, the present one included
+	// sentIDs are the hashes of the IDs of all requests that were sent. No ID is sent
+	// twice, so a response with an ID belongs to the one attempt that sent it here.
+	sentIDs []uint64
 
 	requestHeader []byte // buffer for the encoded request header, reused
 
@@ -52,20 +55,28 @@
 	c.reader = nil
 }
 
-// maxEarlierIDs is how many requests back a copy of a response is recognized.
-const maxEarlierIDs = 4
+// maxConnRequests is the maximum number of requests on a connection. It bounds what a
+// connection keeps of their IDs.
+const maxConnRequests = 256
+
+// idSeed is the seed of the hashes of request IDs, so that callers cannot choose IDs with
+// equal hashes.
+var idSeed = maphash.MakeSeed()
 
 // noteSent records a request that is sent.
 func (c *conn) noteSent(id string, isHead bool) {
 	c.carriedHead = c.carriedHead || isHead
-	c.earlierIDs = append(c.earlierIDs[max(0, len(c.earlierIDs)-maxEarlierIDs):], id)
+	c.sentIDs = append(c.sentIDs, maphash.String(idSeed, id))
 }
 
-// isEarlierID reports whether an ID is that of one of the last requests.
-func (c *conn) isEarlierID(id []byte) bool {
-	return slices.ContainsFunc(c.earlierIDs, func(earlier string) bool { return earlier == string(id) })
+// hasCarried reports whether a request with the ID was sent on the connection.
+func (c *conn) hasCarried(id string) bool {
+	return slices.Contains(c.sentIDs, maphash.String(idSeed, id))
 }
 
+// isExhausted reports whether the connection may carry no more requests.
+func (c *conn) isExhausted() bool { return len(c.sentIDs) >= maxConnRequests }
+
 func (c *conn) close() { _ = c.tcp.Close() }
 
 // write writes a message, whose body is in one or several parts, with vectored writes
--- a/host/backend/extra_response_test.go
+++ b/host/backend/extra_response_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -115,3 +117,69 @@
 	c.Check(response, qt.IsNil)
 	c.Check(result.Reason, qt.Equals, model.ReasonBadAnswer)
 }
+
+// TestCopyOfEarlierAttempt guards against a response to an earlier attempt of a request
+// that is taken for the response to the present one: a shed request is sent to the same
+// server again, and runs there while the response that shed it comes a second time. The
+// request ID is the same in both.
+func TestCopyOfEarlierAttempt(t *testing.T) {
+	const shed = "HTTP/1.1 503 Service Unavailable\r\nPollensail-Request-Id: %s\r\nPollensail-Shed: not-run\r\nContent-Length: 0\r\n\r\n"
+	const served = "HTTP/1.1 200 OK\r\nPollensail-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"
+	for _, between := range []int{0, 1, 10} {
+		t.Run(fmt.Sprintf("%d requests between", between), func(t *testing.T) {
+			c := qt.New(t)
+			var sheds atomic.Int32
+			server := startFakeServer(c, func(s *fakeServer, conn *net.TCPConn, in *bufio.Reader) {
+				shedID := ""
+				for id := s.runRequest(in); id != ""; id = s.runRequest(in) {
+					switch {
+					case strings.HasPrefix(id, "between"):
+					case sheds.Add(1) == 1:
+						shedID = id
+						_, _ = fmt.Fprintf(conn, shed, id)
+						continue
+					case id == shedID:
+						_, _ = fmt.Fprintf(conn, shed, id)
+						time.Sleep(20 * time.Millisecond) // the request runs
+					}
+					_, _ = fmt.Fprintf(conn, served, id)
+				}
+			})
+			transport := newTransport(c, Options{})
+			attempt := newAttempt(transport.clock, server.id, longTimeout)
+			result, response := transport.Do(attempt)
+			c.Assert(response, qt.IsNil)
+			c.Assert(result.Verdict, qt.Equals, model.NotRun)
+			for i := range between {
+				other := newAttempt(transport.clock, server.id, longTimeout)
+				other.RequestID = fmt.Sprintf("between-%d", i)
+				_, response = transport.Do(other)
+				c.Assert(response, qt.IsNotNil)
+				response.Release()
+			}
+			result, response = transport.Do(attempt)
+			c.Check(result.Verdict, qt.Equals, model.Ran)
+			c.Assert(response, qt.IsNotNil)
+			response.Release()
+			c.Check(server.connections(), qt.Equals, 2)
+		})
+	}
+}
+
+// TestManyRequestsOnConnection guards against a connection whose earlier requests are
+// forgotten, or remembered without a bound.
+func TestManyRequestsOnConnection(t *testing.T) {
+	c := qt.New(t)
+	const text = "HTTP/1.1 200 OK\r\nPollensail-Request-Id: ID\r\nContent-Length: 0\r\n\r\n"
+	server := startFakeServer(c, respondToEach(text))
+	transport := newTransport(c, Options{})
+	for i := range 2*maxConnRequests + 1 {
+		attempt := newAttempt(transport.clock, server.id, longTimeout)
+		attempt.RequestID = fmt.Sprintf("request-%d", i)
+		_, response := transport.Do(attempt)
+		c.Assert(response, qt.IsNotNil)
+		response.Release()
+	}
+	c.Check(server.connections(), qt.Equals, 3)
+	c.Check(transport.ConnsOpened(), qt.Equals, uint64(3))
+}
--- a/host/backend/pool.go
+++ b/host/backend/pool.go
@@ -1,18 +1,19 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"pollensail.dev/decision/model"
 	"pollensail.dev/host/socket"
 )
 
-// getIdleConn returns the most recently used idle connection to a server, or
-// nil if there is none. The most recently used one is the least likely to have
-// been closed by the server in the meantime.
-func (t *Transport) getIdleConn(server model.ServerID) *conn {
+// getIdleConn returns the most recently used idle connection to a server that has not
+// carried a request with the ID, or nil if there is none. The most recently used one is
+// the least likely to have been closed by the server in the meantime.
+func (t *Transport) getIdleConn(server model.ServerID, requestID string) *conn {
 	for {
-		c := t.popIdleConn(server)
+		c := t.takeIdleConn(server, requestID)
 		if c == nil {
 			return nil
 		}
@@ -24,28 +25,30 @@
 	}
 }
 
-func (t *Transport) popIdleConn(server model.ServerID) *conn {
+// takeIdleConn removes a connection from the pool. It passes over those that have carried
+// another attempt of the request: a late copy of the response to that attempt could not
+// be told from the response to this one.
+func (t *Transport) takeIdleConn(server model.ServerID, requestID string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idleConns[server]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !c.hasCarried(requestID) {
+			t.idleConns[server] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	last := len(conns) - 1
-	c := conns[last]
-	conns[last] = nil
-	t.idleConns[server] = conns[:last]
-	return c
+	return nil
 }
 
 // putIdleConn returns a connection to the pool, or closes it if the pool has
-// enough connections to its server. The last response on it must have been
+// enough connections to its server or the connection is exhausted. The last response on it must have been
 // read completely and without errors.
 func (t *Transport) putIdleConn(c *conn) {
 	c.idleSince = time.Now()
 	c.detachReader()
 	err := c.tcp.SetDeadline(time.Time{})
-	if err != nil || !t.addIdleConn(c) {
+	if err != nil || c.isExhausted() || !t.addIdleConn(c) {
 		c.close()
 	}
 }
--- a/host/backend/receive.go
+++ b/host/backend/receive.go
@@ -75,7 +75,7 @@
 		switch ids := r.Header.PeekAll(e.dialect().RequestID); {
 		case areAll(ids, e.isOwnID):
 			return nil
-		case !areAll(ids, e.conn.isEarlierID):
+		case !areAll(ids, e.isCarriedID):
 			return errInvalidResponse
 		}
 		if err := e.skipBody(r); err != nil {
@@ -91,6 +91,9 @@
 // accepted too.
 func (e *exchange) isOwnID(id []byte) bool { return string(id) == e.RequestID }
 
+// isCarriedID reports whether an ID is that of a request on the connection.
+func (e *exchange) isCarriedID(id []byte) bool { return e.conn.hasCarried(string(id)) }
+
 func areAll(ids [][]byte, matches func([]byte) bool) bool {
 	for _, id := range ids {
 		if !matches(id) {
