--- a/decision/admission/bucket.go
+++ b/decision/admission/bucket.go
@@ -21,7 +21,10 @@
 	accruedAt   model.Instant // level is brought up to date to this instant
 	// fullSince is the instant since which nothing has accrued because level +
 	// outstanding is the burst share; notFull when it is less.
-	fullSince  model.Instant
+	fullSince model.Instant
+	// keepUntil is the instant before which the bucket must not be forgotten: by then
+	// what was granted has accrued again, under the limit of each grant's time.
+	keepUntil  model.Instant
 	grants     []grant // by expiry
 	contention contention
 }
@@ -99,6 +102,7 @@
 	b.level -= float64(tokens)
 	b.outstanding += tokens
 	b.grants = append(b.grants, grant{id: id, expires: expires, tokens: int32(tokens), askKey: by})
+	b.keepUntil = max(b.keepUntil, expires.Add(accrualTime(limit.Rate, float64(limit.Burst)-b.level)))
 	return tokens
 }
 
--- a/decision/admission/ownedbuckets.go
+++ b/decision/admission/ownedbuckets.go
@@ -62,7 +62,7 @@
 }
 
 func restoreBucket(at model.Instant, state message.BucketState) *bucket {
-	b := &bucket{level: state.Level, accruedAt: at, fullSince: notFull}
+	b := &bucket{level: state.Level, accruedAt: at, fullSince: notFull, keepUntil: at.Add(state.Keep)}
 	for _, g := range state.Outstanding {
 		b.outstanding += g.Tokens
 		b.grants = append(b.grants, grant{id: g.Grant, expires: at.Add(g.Expires), tokens: int32(g.Tokens)})
@@ -93,7 +93,7 @@
 }
 
 func exportBucket(now model.Instant, account model.AccountID, b *bucket) message.BucketState {
-	state := message.BucketState{Account: account, Level: b.level}
+	state := message.BucketState{Account: account, Level: b.level, Keep: max(0, b.keepUntil.Sub(now))}
 	for _, g := range b.grants {
 		state.Outstanding = append(state.Outstanding, message.GrantState{
 			Grant: g.id, Tokens: int(g.tokens), Expires: g.expires.Sub(now),
@@ -176,8 +176,9 @@
 	return b
 }
 
-// EvictIdle evicts the buckets of a slot that hold no more state than a newly
-// created one.
+// EvictIdle evicts the buckets of a slot that hold no more state than a newly created
+// one, and would not under another limit: the present one may be low for a while, or zero
+// if the slot has no share or the account is gone.
 func (o *OwnedBuckets) EvictIdle(now model.Instant, slot model.SlotID, limitOf func(model.AccountID) Limit) {
 	s, ok := o.slots[slot]
 	if !ok {
@@ -190,11 +191,11 @@
 	}
 }
 
-// isIdle reports whether a bucket has no grants and is at least as full as a
-// new one.
+// isIdle reports whether a bucket has no grants, all that it granted has accrued again,
+// and it is at least as full as a new one.
 func (s *ownedSlot) isIdle(now model.Instant, b *bucket, limit Limit) bool {
 	b.accrue(now, limit)
-	if len(b.grants) > 0 {
+	if len(b.grants) > 0 || now < b.keepUntil {
 		return false
 	}
 	initial := s.initialBucket(limit)
--- a/decision/admission/ownedbuckets_test.go
+++ b/decision/admission/ownedbuckets_test.go
@@ -153,3 +153,84 @@
 	o.EvictIdle(at(2600), testSlot, limitOf)
 	c.Assert(len(o.slots[testSlot].buckets), qt.Equals, 0)
 }
+
+// TestUseIsNotForgotten guards against a burst that is given out twice: an account has used
+// its tokens, and its bucket is dropped as idle while its limit is lower, or while the slot
+// has no share of it.
+func TestUseIsNotForgotten(t *testing.T) {
+	high := Limit{Rate: 10, Burst: 67}
+	tests := []struct {
+		name string
+		low  Limit
+		// handedOver says that the slot changes hands while the limit is low.
+		handedOver bool
+	}{
+		{"no share", Limit{}, false},
+		{"a small burst", Limit{Rate: 4, Burst: 4}, false},
+		{"no rate", Limit{Burst: 4}, false},
+		{"no share, and another owner", Limit{}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			o := NewOwnedBuckets()
+			o.Begin(0, testSlot, 1, true)
+			used := useAll(o, 0, high)
+			c.Assert(used >= high.Burst, qt.IsTrue)
+			lowered := func(model.AccountID) Limit { return test.low }
+			o.EvictIdle(at(3000), testSlot, lowered)
+			if test.handedOver {
+				offer := message.HandoverOffer{Slot: testSlot}
+				o.ExportSlot(at(3000), testSlot, &offer, lowered)
+				o = NewOwnedBuckets()
+				o.RestoreTerm(at(3000), testSlot, 2, offer)
+			}
+			o.EvictIdle(at(4000), testSlot, lowered)
+			again := useAll(o, 4500, high)
+			c.Check(again <= 50, qt.IsTrue, qt.Commentf("%d tokens granted after %d", again, used))
+		})
+	}
+}
+
+// useAll asks for tokens and spends them at once until there are none, and returns how
+// many there were.
+func useAll(o *OwnedBuckets, ms int, limit Limit) int {
+	total := 0
+	var settled []message.Settlement
+	for i := 0; ; i++ {
+		ask := message.TokenAsk{Ask: uint64(ms*1000 + i), Slot: testSlot, Account: "a", Tokens: 10, Settled: settled}
+		answer := o.HandleAsk(at(ms), testHost, ask, limit)
+		if answer.Tokens == 0 {
+			return total
+		}
+		total += answer.Tokens
+		settled = []message.Settlement{{Grant: answer.Grant, Spent: answer.Tokens}}
+	}
+}
+
+// TestUseIsForgottenInTime guards against buckets that are kept for ever, because their
+// account or its share is gone.
+func TestUseIsForgottenInTime(t *testing.T) {
+	noShare := func(model.AccountID) Limit { return Limit{} }
+	tests := []struct {
+		name  string
+		limit Limit
+		kept  time.Duration // since the last grant
+	}{
+		{"accrues within seconds", Limit{Rate: 10, Burst: 60}, 8 * time.Second},
+		{"accrues within days", Limit{Rate: 0.001, Burst: 1000}, time.Hour + Validity},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			o := NewOwnedBuckets()
+			o.Begin(0, testSlot, 1, true)
+			useAll(o, 0, test.limit)
+			end := model.Instant(0).Add(test.kept)
+			o.EvictIdle(end-1, testSlot, noShare)
+			c.Check(o.slots[testSlot].buckets, qt.HasLen, 1)
+			o.EvictIdle(end, testSlot, noShare)
+			c.Check(o.slots[testSlot].buckets, qt.HasLen, 0)
+		})
+	}
+}
--- a/decision/message/message.go
+++ b/decision/message/message.go
@@ -401,6 +401,9 @@
 	Account     model.AccountID
 	Level       float64
 	Outstanding []GrantState
+	// Keep is how long the bucket must not be forgotten. 0 from a host of an older
+	// release.
+	Keep time.Duration
 }
 
 // GrantState is an unsettled grant.
