--- a/host/backend/conn.go
+++ b/host/backend/conn.go
@@ -27,6 +27,9 @@
 	// sentIDs are the hashes of the IDs of all requests that were sent. No ID is sent
 	// twice, so a response with an ID belongs to the one attempt that sent it here.
 	sentIDs []uint64
+	// hadAnonymous says that a response had no ID, so that a late copy of it would have
+	// none either.
+	hadAnonymous bool
 
 	requestHeader []byte // buffer for the encoded request header, reused
 
@@ -74,8 +77,12 @@
 	return slices.Contains(c.sentIDs, maphash.String(idSeed, id))
 }
 
-// isExhausted reports whether the connection may carry no more requests.
-func (c *conn) isExhausted() bool { return len(c.sentIDs) >= maxConnRequests }
+// isFirstRequest reports whether the connection has carried no request before the present
+// one.
+func (c *conn) isFirstRequest() bool { return len(c.sentIDs) == 1 }
+
+// isReusable reports whether the connection may carry another request.
+func (c *conn) isReusable() bool { return !c.hadAnonymous && len(c.sentIDs) < maxConnRequests }
 
 func (c *conn) close() { _ = c.tcp.Close() }
 
--- a/host/backend/extra_response_test.go
+++ b/host/backend/extra_response_test.go
@@ -183,3 +183,59 @@
 	c.Check(server.connections(), qt.Equals, 3)
 	c.Check(transport.ConnsOpened(), qt.Equals, uint64(3))
 }
+
+// TestAnonymousResponse guards against a response without a request ID that is taken for
+// the one to the request under way: a second copy of the response that shed an earlier
+// request, or bytes that look like a response and belong to no request. A server that
+// sheds a request without an ID is still believed.
+func TestAnonymousResponse(t *testing.T) {
+	const (
+		shed   = "HTTP/1.1 503 Service Unavailable\r\nPollensail-Shed: not-run\r\nContent-Length: 0\r\n\r\n"
+		health = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		served = "HTTP/1.1 200 OK\r\nPollensail-Request-Id: %s\r\nContent-Length: 3\r\n\r\nown"
+	)
+	tests := []struct {
+		name   string
+		first  string // response to the first request; an ID is filled in
+		second string // sent when the second request has arrived on the same connection
+		want   model.Verdict
+		conns  int
+	}{
+		{"copy of a shed response", shed, shed, model.Ran, 2},
+		{"stray success", served, health, model.MayHaveRun, 1},
+		{"shed without an ID", served, shed, model.NotRun, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var requests atomic.Int32
+			server := startFakeServer(c, func(s *fakeServer, conn *net.TCPConn, in *bufio.Reader) {
+				isUsed := false
+				for id := s.runRequest(in); id != ""; id = s.runRequest(in) {
+					text := served
+					if requests.Add(1) == 1 {
+						text = test.first
+					}
+					if isUsed {
+						_, _ = io.WriteString(conn, test.second)
+						time.Sleep(20 * time.Millisecond) // the request runs
+					}
+					isUsed = true
+					_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", id))
+				}
+			})
+			transport := newTransport(c, Options{})
+			var result model.AttemptResult
+			for i := range 2 {
+				attempt := newAttempt(transport.clock, server.id, longTimeout)
+				attempt.RequestID = fmt.Sprintf("request-%d", i)
+				var response *Response
+				if result, response = transport.Do(attempt); response != nil {
+					response.Release()
+				}
+			}
+			c.Check(result.Verdict, qt.Equals, test.want)
+			c.Check(server.connections(), qt.Equals, test.conns)
+		})
+	}
+}
--- a/host/backend/pool.go
+++ b/host/backend/pool.go
@@ -42,13 +42,13 @@
 }
 
 // putIdleConn returns a connection to the pool, or closes it if the pool has
-// enough connections to its server or the connection is exhausted. The last response on it must have been
+// enough connections to its server or the connection is not reusable. The last response on it must have been
 // read completely and without errors.
 func (t *Transport) putIdleConn(c *conn) {
 	c.idleSince = time.Now()
 	c.detachReader()
 	err := c.tcp.SetDeadline(time.Time{})
-	if err != nil || c.isExhausted() || !t.addIdleConn(c) {
+	if err != nil || !c.isReusable() || !t.addIdleConn(c) {
 		c.close()
 	}
 }
--- a/host/backend/receive.go
+++ b/host/backend/receive.go
@@ -73,6 +73,8 @@
 		}
 		r.Header.SetNoDefaultContentType(true)
 		switch ids := r.Header.PeekAll(e.dialect().RequestID); {
+		case len(ids) == 0:
+			return e.checkAnonymous(&r.Header)
 		case areAll(ids, e.isOwnID):
 			return nil
 		case !areAll(ids, e.isCarriedID):
@@ -87,8 +89,21 @@
 	return errInvalidResponse
 }
 
-// isOwnID reports whether an ID is that of the request. A response without an ID is
-// accepted too.
+// checkAnonymous checks a response without a request ID. The first one on a connection
+// belongs to its first request. On a connection in use, the responses so far had IDs, so
+// this is no copy of them; but only one that states that the request was not run is
+// accepted, because servers may shed requests before they read their fields. The
+// connection is not used again: a copy of this response could not be told from the next.
+func (e *exchange) checkAnonymous(h *fasthttp.ResponseHeader) error {
+	isRefusal := e.isShed(h) || e.dialect().IsMisdirected(h)
+	if !e.conn.isFirstRequest() && !isRefusal {
+		return errInvalidResponse
+	}
+	e.conn.hadAnonymous = true
+	return nil
+}
+
+// isOwnID reports whether an ID is that of the request.
 func (e *exchange) isOwnID(id []byte) bool { return string(id) == e.RequestID }
 
 // isCarriedID reports whether an ID is that of a request on the connection.
