--- a/decision/config.go
+++ b/decision/config.go
@@ -74,7 +74,10 @@
 	unusableObjects string
 	peers           []model.HostID          // the other listed entry hosts
 	peerVersions    map[model.HostID]uint64 // versions that peers reported, until one is active
-	lastPolledPeer  int                     // index in peers of the last one polled for its version
+	// reported holds the peers that have reported a version or that they have none, until
+	// a version is active here.
+	reported       map[model.HostID]bool
+	lastPolledPeer int // index in peers of the last one polled for its version
 
 	// confirmedAt is an instant at which the active version was the newest in the
 	// store. It is no later than when the call that confirmed it was sent. Valid
@@ -85,6 +88,7 @@
 	pendingConfirmation versionConfirmation
 
 	storeVersion      uint64        // highest store version returned with a root
+	storeRestores     uint64        // how often the store has come back from an older copy
 	nextOwnerlessRead model.Instant // when to read while the watch has no known owner
 	delegatedUntil    model.Instant // until when to watch for a host that does not reach the store
 	isStoreEmpty      bool          // the store has no root
@@ -97,6 +101,7 @@
 	return configState{
 		shardCache:   make(map[string]configuration.Shard),
 		peerVersions: make(map[model.HostID]uint64),
+		reported:     make(map[model.HostID]bool),
 	}
 }
 
@@ -143,11 +148,15 @@
 	}
 	s.limits.members.StoreReached(e.SentAt)
 	c.storeVersion = max(c.storeVersion, e.StoreVersion)
+	c.storeRestores = max(c.storeRestores, e.Restores)
 	c.isStoreEmpty = e.Root.Version == 0
 	if e.Root.Version > 0 {
 		s.onRootOffered(e.Root, "")
 		s.confirmVersion(e.Root.Version, e.SentAt)
 	}
+	if c.needsPeerVersions() {
+		s.pollPeerVersions()
+	}
 	if s.isWatcher() {
 		s.watchRoot()
 	}
@@ -308,11 +317,36 @@
 // single peer may lag behind.
 func (s *State) mayActivateTarget() bool {
 	c := &s.config
-	if c.root.Version > 0 {
+	switch {
+	case c.root.Version > 0:
 		return true
+	case c.target.root.Version < c.newestKnown:
+		return false
+	case c.target.from == "":
+		return c.storeRestores == 0 || s.isStoredVersionUsable()
+	default:
+		return 2*len(c.peerVersions) > len(c.peers)
 	}
-	isNewest := c.target.root.Version >= c.newestKnown
-	return isNewest && (c.target.from == "" || 2*len(c.peerVersions) > len(c.peers))
+}
+
+// restoredVersionWait is how long after its start a host waits for reports of its peers,
+// where the store has come back from an older copy. The entries of hosts are gone with
+// their leases then; most hosts are listed again within two seconds.
+const restoredVersionWait = 3 * time.Second
+
+// isStoredVersionUsable reports whether a host without a configuration may take the version
+// of a store that has come back from an older copy. Its peers may have a newer one in force,
+// which the operators have yet to write again, so more than half of them are asked.
+func (s *State) isStoredVersionUsable() bool {
+	c := &s.config
+	isReported := len(c.peers) > 0 && 2*len(c.reported) > len(c.peers)
+	return isReported || s.now >= s.startedAt.Add(restoredVersionWait)
+}
+
+// needsPeerVersions reports whether the host has no configuration and cannot rely on the
+// store alone.
+func (c *configState) needsPeerVersions() bool {
+	return c.root.Version == 0 && (c.storeCallFailed || c.storeRestores > 0)
 }
 
 // activate puts a version in force. source is the peer that offered it, empty for the
@@ -325,6 +359,7 @@
 	s.applyPendingConfirmation()
 	c.pruneShardCache()
 	clear(c.peerVersions)
+	clear(c.reported)
 	targets := s.announcementTargets()
 	c.update.holders = slices.DeleteFunc(c.update.holders, func(h versionHolder) bool { return h.version <= root.Version })
 	s.snapshot = snapshot
--- a/decision/config_fleet_test.go
+++ b/decision/config_fleet_test.go
@@ -162,6 +162,57 @@
 	c.Assert(s.converges(10*time.Second), qt.IsTrue, qt.Commentf("%v", s.versions()))
 }
 
+// TestStartAfterRestore guards against a host that starts after the store came back from
+// an older copy and puts the older version in force, though its peers have the newer one:
+// a key that was withdrawn would be in use again. It also guards against a host that does
+// not start then, alone or in a new fleet.
+func TestStartAfterRestore(t *testing.T) {
+	tests := []struct {
+		hosts, seeds int
+		isListed     bool // the host knows its peers from the start
+	}{
+		{3, 10, true}, {3, 10, false}, {24, 3, true}, {24, 3, false}, {100, 1, true},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d hosts, listed %v", test.hosts, test.isListed), func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(test.seeds) {
+				link := fleettest.LinkQuality{MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond}
+				s := newTreeFleet(t, test.hosts, seed, link)
+				c.Assert(s.converges(20*time.Second), qt.IsTrue)
+				older, tree := s.root, s.tree
+				s.edit(tree)
+				c.Assert(s.converges(10*time.Second), qt.IsTrue)
+				newer := s.root
+				entry := s.fleet.Options.Hosts[0]
+				s.fleet.Hosts[model.HostID(entry.ID)].Kill()
+				s.root = older
+				s.restores++
+				started := s.fleet.Start(entry)
+				if !test.isListed {
+					started.Post(event.HostListRead{Entries: []model.HostEntry{entry}})
+					s.fleet.After(1500*time.Millisecond, func() {
+						started.Post(event.HostListRead{Entries: s.fleet.Options.Hosts})
+					})
+				}
+				for range 300 {
+					s.fleet.Run(10 * time.Millisecond)
+					c.Assert(s.activeVersion[started.Ref], qt.Not(qt.Equals), older.Version, qt.Commentf("seed %d, at %v", seed, s.fleet.Now))
+				}
+				c.Check(s.activeVersion[started.Ref], qt.Equals, newer.Version, qt.Commentf("seed %d", seed))
+			}
+		})
+	}
+	for _, hosts := range []int{1, 3, 24} {
+		t.Run(fmt.Sprintf("new fleet of %d hosts", hosts), func(t *testing.T) {
+			c := qt.New(t)
+			s := newTreeFleet(t, hosts, 1, fleettest.LinkQuality{MaxDelay: 5 * time.Millisecond})
+			s.restores = 1
+			c.Check(s.converges(4*time.Second), qt.IsTrue, qt.Commentf("%v", s.versions()))
+		})
+	}
+}
+
 // TestBadVersionIsNotApplied guards against an active tree that is replaced by
 // one that does not validate or whose content is incomplete.
 func TestBadVersionIsNotApplied(t *testing.T) {
--- a/decision/config_store_test.go
+++ b/decision/config_store_test.go
@@ -40,6 +40,7 @@
 	rejected      int
 	reads         int           // of shards in the store
 	rootReads     int           // without watches
+	restores      uint64        // how often the store has come back from an older copy
 	callTimeout   time.Duration // after which a call fails that the store does not answer; 0: it is refused at once
 }
 
@@ -188,7 +189,7 @@
 		if s.fails(h) {
 			return event.RootRead{Error: event.StoreUnavailable}
 		}
-		return event.RootRead{Root: s.root, StoreVersion: s.root.Version}
+		return event.RootRead{Root: s.root, StoreVersion: s.root.Version, Restores: s.restores}
 	}
 }
 
--- a/decision/configpeers.go
+++ b/decision/configpeers.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"maps"
 	"slices"
 
 	"pollensail.dev/decision/configuration"
@@ -30,7 +31,8 @@
 			delete(c.peerVersions, id)
 		}
 	}
-	if c.storeCallFailed {
+	maps.DeleteFunc(c.reported, func(id model.HostID, _ bool) bool { return !listed[id] })
+	if c.needsPeerVersions() {
 		s.pollPeerVersions()
 	}
 	s.completeTarget()
@@ -67,18 +69,23 @@
 	if version > 0 {
 		s.noteKnownVersion(version)
 		s.noteHolder(from.ID, version)
-		s.notePeerVersion(from.ID, version)
 	}
+	s.notePeerVersion(from.ID, version)
 	s.requestUpdate()
 }
 
-// notePeerVersion records the version of a peer, if it has one, while this host has none.
+// notePeerVersion records the version of a peer, 0 if it has none, while this host has
+// none.
 func (s *State) notePeerVersion(peer model.HostID, version uint64) {
 	c := &s.config
-	if version > 0 && c.root.Version == 0 && slices.Contains(c.peers, peer) {
+	if c.root.Version > 0 || !slices.Contains(c.peers, peer) {
+		return
+	}
+	c.reported[peer] = true
+	if version > 0 {
 		c.peerVersions[peer] = version
-		s.completeTarget()
 	}
+	s.completeTarget()
 }
 
 // requestRoot requests a peer's root, which the peer sends only if it is newer
@@ -143,8 +150,9 @@
 func (s *State) pullFromPeers() {
 	c := &s.config
 	switch {
-	case c.root.Version == 0 && c.storeCallFailed:
+	case c.needsPeerVersions():
 		s.pollPeerVersions()
+		s.completeTarget()
 	case c.needsUpdate() && len(c.update.asked) == 0:
 		s.onUpdateTimer()
 	}
--- a/decision/event/event.go
+++ b/decision/event/event.go
@@ -161,6 +161,8 @@
 	// Evacuation is the set of evacuated failure domains. It is the zero value if it
 	// was not read, and may be set together with Problem.
 	Evacuation model.Evacuation
+	// Restores is as in SlotRead.
+	Restores uint64
 }
 
 // ShardsRead is the result of effect.ReadShards or effect.DecodeShards. It
--- a/host/store/effectrunner.go
+++ b/host/store/effectrunner.go
@@ -114,6 +114,7 @@
 		Problem:      problemOf(err),
 		SentAt:       sent,
 		Evacuation:   reply.Evacuation,
+		Restores:     r.records.Restores(),
 	})
 }
 
