--- a/decision/slot/doc.go
+++ b/decision/slot/doc.go
@@ -13,6 +13,9 @@
 // from knows of the intent. Heartbeats carry all known intents beside the ages
 // of hosts, so an age never arrives without the intents that its host knew.
 //
+// A record from before the store last came back from an older copy proves nothing about
+// the owner, and neither does a missing one (restore.go).
+//
 // A planned change of owner is a two-phase handover: the owner freezes the slot
 // and offers its state (HandoverOffer), swaps the record once the successor has
 // acknowledged it, and then commits (HandoverCommit). Hosts are ranked as
--- a/decision/slot/lease.go
+++ b/decision/slot/lease.go
@@ -71,8 +71,8 @@
 	s.majorityUntil = majorityUntil
 }
 
-// lapse ends the authority, which lasted until now at most, and no longer than the lease
-// and the evidence of a majority.
+// lapse ends the authority. It lasted until now at most, and no longer than the lease and
+// the evidence of a majority.
 func (l *lease) lapse(now, majorityUntil model.Instant) {
 	l.lapsed = true
 	l.lapsedAt = min(now, max(l.startedAt.Add(LeaseDuration), majorityUntil))
@@ -250,7 +250,9 @@
 	p := v.lease.pending
 	isConfirmed := m.OK && p != nil && p.record == m.Record && s.isCurrent(m.Record, m.Version)
 	switch {
-	case m.Conflict && v.handover == nil:
+	case m.Conflict && v.handover != nil:
+		s.handoverRead(now, v, event.SlotRead{Slot: m.Slot, Record: m.Record, Version: m.Version})
+	case m.Conflict:
 		s.leaseRead(now, f, v, m.Record, m.Version)
 	case isConfirmed:
 		s.confirmRenewal(v, m.Version)
